Define the ports of control, steering and HTTP

Cause: serving, steering and control are written side by side and need fixed interfaces between them. Change: Protocol types ControlPlane, SteeringView and HttpHandler, and the HttpRequest type.

--- a/src/guavapulley/model/__init__.py
+++ b/src/guavapulley/model/__init__.py
@@ -56,6 +56,7 @@
 from guavapulley.model._requests import Answer
 from guavapulley.model._requests import AnswerHead
 from guavapulley.model._requests import Headers
+from guavapulley.model._requests import HttpRequest
 from guavapulley.model._requests import OutcomeKind
 from guavapulley.model._requests import SteeredRequest
 from guavapulley.model._requests import StoredOutcome
@@ -91,6 +92,7 @@
     "Gossip",
     "GossipReply",
     "Headers",
+    "HttpRequest",
     "InstallSnapshot",
     "InstallSnapshotReply",
     "Intent",
--- a/src/guavapulley/model/_requests.py
+++ b/src/guavapulley/model/_requests.py
@@ -95,3 +95,30 @@
     claimed_at_s: float
     kind: OutcomeKind = OutcomeKind.CLAIMED
     answer: Answer | None = None
+
+
+@attrs.frozen
+class HttpRequest:
+    """An HTTP request as received.
+
+    Attributes:
+        method: Method in upper case.
+        path: Path without the query, percent-decoded.
+        query: Query string as received.
+        headers: Headers as received.
+        body: Whole body.
+        peer_host: IP address of the other side.
+    """
+
+    method: str
+    path: str
+    query: str = ""
+    headers: Headers = ()
+    body: bytes = b""
+    peer_host: str = ""
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header of a name, ignoring case."""
+        wanted = name.lower()
+        found = (value for key, value in self.headers if key.lower() == wanted)
+        return next(found, None)
--- a/src/guavapulley/ports/__init__.py
+++ b/src/guavapulley/ports/__init__.py
@@ -1,5 +1,6 @@
 """Protocol types for everything outside the decisions."""
 
+from guavapulley.ports._control import ControlPlane
 from guavapulley.ports._errors import CALL_TIMEOUT
 from guavapulley.ports._errors import DISK_FAILED
 from guavapulley.ports._errors import LOG_CORRUPT
@@ -11,6 +12,7 @@
 from guavapulley.ports._errors import PeerError
 from guavapulley.ports._errors import PeerRefusedError
 from guavapulley.ports._errors import UpstreamError
+from guavapulley.ports._http import HttpHandler
 from guavapulley.ports._observability import EventLog
 from guavapulley.ports._observability import Metrics
 from guavapulley.ports._observability import NullEventLog
@@ -19,6 +21,9 @@
 from guavapulley.ports._peers import PeerClient
 from guavapulley.ports._peers import PeerDialer
 from guavapulley.ports._peers import PeerHandler
+from guavapulley.ports._steering import Freshness
+from guavapulley.ports._steering import KnownUpstream
+from guavapulley.ports._steering import SteeringView
 from guavapulley.ports._storage import LogStore
 from guavapulley.ports._storage import StateMachine
 from guavapulley.ports._storage import StoredLog
@@ -36,8 +41,12 @@
     "UPSTREAM_NOT_REACHED",
     "UPSTREAM_WRONG_ANSWER",
     "Codec",
+    "ControlPlane",
     "DiskError",
     "EventLog",
+    "Freshness",
+    "HttpHandler",
+    "KnownUpstream",
     "LogStore",
     "Metrics",
     "NullEventLog",
@@ -50,6 +59,7 @@
     "ReplyWriter",
     "RequestHandler",
     "StateMachine",
+    "SteeringView",
     "StoredLog",
     "UpstreamAnswer",
     "UpstreamClient",
