Use a free port in the peer call test

Cause: two test runs side by side on one machine failed, because both bound the same fixed port (1 of 5 concurrent runs failed). Change: a fixture finds an unused port. Conclusion: tests must not use fixed ports.

--- a/tests/adapters/nng/test_nng.py
+++ b/tests/adapters/nng/test_nng.py
@@ -9,8 +9,6 @@
 from guavapulley.adapters import codec
 from guavapulley.adapters import nng
 
-ADDRESS = model.NodeAddress("127.0.0.1", 39217)
-
 
 class Handler:
     async def handle(self, request):
@@ -21,20 +19,21 @@
         raise errors.GuavapulleyError("NO_QUORUM", "no quorum", leader="x")
 
 
-async def test_calls_are_answered_refused_or_time_out():
+async def test_calls_are_answered_refused_or_time_out(free_port):
+    address = model.NodeAddress("127.0.0.1", free_port())
     envelopes = codec.EnvelopeCodec(codec.MessageCodec(), b"key")
     clock = nng.LamportClock()
     async with trio.open_nursery() as nursery:
         await nursery.start(
             nng.serve_peers,
-            ADDRESS,
+            address,
             Handler(),
             envelopes,
             "server",
             nng.LamportClock(),
             ports.NullEventLog(),
         )
-        client = nng.NngDialer(envelopes, "client", clock).dial(ADDRESS)
+        client = nng.NngDialer(envelopes, "client", clock).dial(address)
         reply = await client.call(model.ReadIndex(), 5)
         with pytest.raises(ports.PeerRefusedError) as refused:
             await client.call(model.GetOutcome("k"), 5)
