Add the table of client blocks and the capacity measurements

Cause: at the two-year size 2.4 million client blocks must fit beside everything else in 128 MB, and docs/CAPACITY.md needs measured slopes. Change: longest-prefix match in sorted arrays for each prefix length, and bench/capacity.py.

--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -22,6 +22,7 @@
     "model": {"errors"},
     "selectors": {"errors", "model"},
     "ports": {"errors", "model"},
+    "lookup": {"errors", "model"},
     "steering": {"errors", "model", "selectors", "ports"},
     "membership": {"errors", "model", "ports"},
     "serving": {
@@ -31,6 +32,7 @@
         "ports",
         "steering",
         "membership",
+        "lookup",
     },
     "consensus": {"errors", "model", "ports"},
     "control": {"errors", "model", "selectors", "ports", "consensus"},
