Add a fault-injecting proxy for tests, and bind peer calls to a source

Cause: tests with real processes must cut single links, so the proxy has to know both ends of a connection; on loopback every process has its own address. Change: NngDialer can connect from the address of its process; a TCP proxy under tests cuts and delays each direction between two hosts. Conclusion: no test hook is needed in the product.

--- a/src/guavapulley/adapters/nng/_client.py
+++ b/src/guavapulley/adapters/nng/_client.py
@@ -23,6 +23,7 @@
         envelopes: codec.EnvelopeCodec,
         sender: str,
         clock: _clock.LamportClock,
+        source_host: str | None = None,
     ) -> None:
         self.address = address
         self.envelopes = envelopes
@@ -31,7 +32,8 @@
         self.socket = pynng.Req0(resend_time=RESEND_OFF_MS)
         self.socket.reconnect_time_min = RECONNECT_MIN_MS
         self.socket.reconnect_time_max = RECONNECT_MAX_MS
-        self.socket.dial(f"tcp://{address}", block=False)
+        source = f"{source_host};" if source_host else ""
+        self.socket.dial(f"tcp://{source}{address}", block=False)
 
     async def call(
         self, request: model.PeerMessage, timeout_s: float
@@ -82,18 +84,30 @@
 
 
 class NngDialer:
-    """Makes clients that share a key, a name and a clock."""
+    """Makes clients that share a key, a name and a clock.
+
+    Args:
+        envelopes: Codec with the cluster key.
+        sender: Name of this process.
+        clock: Lamport clock of this process.
+        source_host: IP address to connect from, so that peers and firewalls
+            see the address that this process announces on a VM with several.
+    """
 
     def __init__(
         self,
         envelopes: codec.EnvelopeCodec,
         sender: str,
         clock: _clock.LamportClock,
+        source_host: str | None = None,
     ) -> None:
         self.envelopes = envelopes
         self.sender = sender
         self.clock = clock
+        self.source_host = source_host
 
     def dial(self, address: model.NodeAddress) -> NngPeerClient:
         """Returns a client that connects in the background."""
-        return NngPeerClient(address, self.envelopes, self.sender, self.clock)
+        return NngPeerClient(
+            address, self.envelopes, self.sender, self.clock, self.source_host
+        )
--- /dev/null
+++ b/tests/integration/fault_proxy.py
@@ -0,0 +1,161 @@
+"""TCP proxy that cuts and delays links between hosts on loopback.
+
+Each host has a loopback address of its own (127.0.1.N) that the proxy listens
+on; it forwards to the address where the process listens. Processes connect from
+their own address, so the proxy knows both ends of a connection. A cut holds the
+bytes back without closing anything, as a silent partition does; they are
+delivered when the link is restored.
+"""
+
+import attrs
+import trio
+
+CHUNK_BYTES = 65_536
+QUEUED_CHUNKS = 64
+
+
+@attrs.define
+class Link:
+    """One direction between two hosts."""
+
+    delay_s: float = 0.0
+    open: trio.Event = attrs.field(factory=trio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.open.set()
+
+    def cut(self) -> None:
+        """Holds bytes back from now on."""
+        if self.open.is_set():
+            self.open = trio.Event()
+
+    def restore(self) -> None:
+        """Delivers what was held back and what follows."""
+        self.open.set()
+
+
+class FaultProxy:
+    """Forwards connections between hosts, subject to faults on their links."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.links: dict[tuple[str, str], Link] = {}
+
+    def link(self, source: str, target: str) -> Link:
+        """Returns the direction from one host to another."""
+        return self.links.setdefault((source, target), Link())
+
+    def isolate(self, host: str, others: list[str]) -> None:
+        """Cuts both directions between a host and others."""
+        for other in others:
+            self.link(host, other).cut()
+            self.link(other, host).cut()
+
+    def restore_all(self) -> None:
+        """Restores every link."""
+        for link in self.links.values():
+            link.restore()
+
+    async def forward(
+        self, host: str, listen: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        """Forwards connections for a host from one address to another."""
+        listener = trio.socket.socket()
+        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await listener.bind(listen)
+        listener.listen(128)
+        self.nursery.start_soon(self._accept, host, listener, target)
+
+    async def _accept(
+        self,
+        host: str,
+        listener: trio.socket.SocketType,
+        target: tuple[str, int],
+    ) -> None:
+        while True:
+            accepted, address = await listener.accept()
+            self.nursery.start_soon(
+                self._connection, accepted, address[0], host, target
+            )
+
+    async def _connection(
+        self,
+        accepted: trio.socket.SocketType,
+        source: str,
+        host: str,
+        target: tuple[str, int],
+    ) -> None:
+        with accepted:
+            await self.link(source, host).open.wait()
+            connected = trio.socket.socket()
+            with connected:
+                try:
+                    await connected.connect(target)
+                except OSError:
+                    return
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        self._pump, accepted, connected, source, host
+                    )
+                    nursery.start_soon(
+                        self._pump, connected, accepted, host, source
+                    )
+
+    async def _pump(
+        self,
+        reader: trio.socket.SocketType,
+        writer: trio.socket.SocketType,
+        source: str,
+        target: str,
+    ) -> None:
+        send, receive = trio.open_memory_channel[tuple[float, bytes]](
+            QUEUED_CHUNKS
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._deliver, receive, writer, self.link(source, target)
+            )
+            async with send:
+                chunk = b" "
+                while chunk:
+                    chunk = await _receive(reader)
+                    at = trio.current_time()
+                    at += self.link(source, target).delay_s
+                    await send.send((at, chunk))
+
+    async def _deliver(
+        self,
+        receive: trio.MemoryReceiveChannel[tuple[float, bytes]],
+        writer: trio.socket.SocketType,
+        link: Link,
+    ) -> None:
+        async for deliver_at, chunk in receive:
+            await trio.sleep_until(deliver_at)
+            await link.open.wait()
+            if chunk:
+                await _send(writer, chunk)
+                continue
+            _shut_down(writer)
+
+
+async def _receive(reader: trio.socket.SocketType) -> bytes:
+    try:
+        return await reader.recv(CHUNK_BYTES)
+    except OSError:
+        return b""
+
+
+async def _send(writer: trio.socket.SocketType, chunk: bytes) -> None:
+    try:
+        view = memoryview(chunk)
+        while view:
+            view = view[await writer.send(view) :]
+    except OSError:
+        return
+
+
+def _shut_down(writer: trio.socket.SocketType) -> None:
+    try:
+        writer.shutdown(trio.socket.SHUT_WR)
+    except OSError:
+        return
