Serve HTTP with cheroot and send to upstreams with urllib3

Cause: the entry needs an HTTP server whose requests are trio tasks, and an upstream client that never mixes up answers.

Malformed, oversized and slow requests get JSON errors. A stop answers what has arrived, including connections that wait to be accepted and kept connections with unread bytes.

--- /dev/null
+++ b/src/guavapulley/adapters/http/_cheroot.py
@@ -0,0 +1,261 @@
+"""Cheroot with stricter parsing, JSON errors and a stop that cuts nothing."""
+
+from collections.abc import Iterator
+import contextlib
+import io
+import logging
+import socket
+import threading
+import time
+from typing import Any
+
+from cheroot import makefile
+from cheroot import server
+from cheroot.workers import threadpool
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley.adapters.http import _errors
+from guavapulley.adapters.http import _limits
+
+# The type stubs of cheroot leave out what it keeps internal.
+_makefile: Any = makefile
+_server: Any = server
+# The class that cheroot derives its buffered reader from.
+_BufferedReader = _makefile.io.BufferedReader
+WAKE_TIMEOUT_S = 1.0
+_CODE_BY_STATUS = {
+    408: _errors.REQUEST_TIMEOUT,
+    413: _errors.TOO_LARGE,
+    414: _errors.TOO_LARGE,
+    500: _errors.INTERNAL_ERROR,
+    503: _errors.SERVER_BUSY,
+}
+
+
+class _HeaderReader(server.HeaderReader):
+    """Keeps repeated headers, which cheroot overwrites.
+
+    The pairs are stored in the table under the key `PAIRS`, which no header
+    can have, because header names are bytes.
+    """
+
+    PAIRS = "pairs"
+
+    def __call__(
+        self, rfile: Any, hdict: dict[Any, Any] | None = None
+    ) -> dict[Any, Any]:
+        table: dict[Any, Any] = {} if hdict is None else hdict
+        pairs = list(self._pairs(rfile))
+        for name, value in pairs:
+            if name in (b"Content-Length", b"Host") and name in table:
+                raise ValueError("A header that must be single is repeated.")
+            known = table.get(name)
+            table[name] = value if known is None else known + b", " + value
+        if b"Content-Length" in table and (
+            b"Transfer-Encoding" in table
+            or not table[b"Content-Length"].isdigit()
+        ):
+            raise ValueError("The length of the body is ambiguous.")
+        table[self.PAIRS] = pairs
+        return table
+
+    def _pairs(self, rfile: Any) -> Iterator[tuple[bytes, bytes]]:
+        while (line := rfile.readline()) != _server.CRLF:
+            name, colon, value = line.partition(b":")
+            if not line.endswith(_server.CRLF) or not colon:
+                raise ValueError("Malformed header line.")
+            if not name or name != name.strip():
+                raise ValueError("Malformed header name.")
+            yield name.title(), value.strip()
+
+
+class _Request(server.HTTPRequest):
+    """A request whose parsing errors are answered in JSON."""
+
+    header_reader = _HeaderReader()
+
+    def parse_request(self) -> None:
+        self.conn.begin_request()
+        self.method = b""
+        super().parse_request()
+        if self.inheaders.get(b"Connection", b"").lower() == b"close":
+            self.close_connection = True
+
+    def simple_response(self, status: object, msg: str | bytes = "") -> None:
+        text = msg.decode("latin-1") if isinstance(msg, bytes) else msg
+        number = int(str(status)[:3])
+        code = _CODE_BY_STATUS.get(number, _errors.BAD_REQUEST)
+        error = _errors.HttpError(code, text or str(status)[4:])
+        body = _errors.error_answer(error).body
+        head = (
+            f"{self.server.protocol} {status}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n\r\n"
+        )
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(head.encode("latin-1") + body)
+
+    def send_headers(self) -> None:
+        self.conn.socket.settimeout(self.server.limits.send_s)
+        if self.server.closing:
+            self.close_connection = True
+        super().send_headers()
+
+
+class _SocketReader(socket.SocketIO):
+    """Raw reader with a deadline for the whole request.
+
+    The time-out of a socket starts again with each byte, so a slow sender
+    could otherwise keep a worker for ever.
+    """
+
+    deadline: float = 0.0
+    sock: socket.socket
+
+    def readinto(self, buffer: Any) -> int | None:
+        left = self.deadline - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("timed out")
+        self.sock.settimeout(left)
+        return super().readinto(buffer)
+
+
+class _Reader(makefile.StreamReader):
+    """Cheroot's reader over `_SocketReader`."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        raw = _SocketReader(sock, "rb")
+        raw.sock = sock
+        _BufferedReader.__init__(self, raw, io.DEFAULT_BUFFER_SIZE)
+        self.bytes_read = 0
+
+
+def _make_file(sock: socket.socket, mode: str, size: int) -> Any:
+    if "r" in mode:
+        return _Reader(sock)
+    return makefile.MakeFile(sock, mode, size)
+
+
+class _Connection(server.HTTPConnection):
+    """A connection of a caller."""
+
+    RequestHandlerClass = _Request
+
+    def __init__(self, owner: Any, sock: Any, make_file: Any = None) -> None:
+        super().__init__(owner, sock, _make_file)
+
+    def begin_request(self) -> None:
+        """Starts the time allowed for receiving a request."""
+        limit = self.server.limits.receive_s
+        self.rfile.raw.deadline = time.monotonic() + limit
+
+
+class CherootServer(server.HTTPServer):
+    """Cheroot's server with the limits of `HttpLimits`.
+
+    Attributes:
+        closing: Whether answers ask callers to close their connections.
+    """
+
+    ConnectionClass = _Connection
+    keep_alive_conn_limit: Any = None
+    timeout: Any = None
+    _connections: Any
+    _unservicable_conns: Any
+
+    def __init__(
+        self,
+        address: model.NodeAddress,
+        gateway: type[server.Gateway],
+        limits: _limits.HttpLimits,
+        events: ports.EventLog,
+    ) -> None:
+        super().__init__((address.host, address.port), gateway)
+        self.limits = limits
+        self.events = events
+        self.closing = False
+        # A second caller waits until the first has stopped the server.
+        self.stop_lock = threading.Lock()
+        self.server_name = "guavapulley"
+        self.max_request_body_size = limits.max_body_bytes
+        self.max_request_header_size = limits.max_head_bytes
+        self.timeout = limits.idle_s
+        self.request_queue_size = limits.backlog
+        self.requests = threadpool.ThreadPool(
+            self,
+            min=limits.workers,
+            max=limits.workers,
+            accepted_queue_size=limits.queued_connections,
+            accepted_queue_timeout=0,
+        )
+
+    def process_conn(self, conn: Any) -> None:
+        """Gives a connection to a worker once it has sent a byte."""
+        if conn.last_used is None and self.ready:
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Writes cheroot's messages to the event log."""
+        self.events.write("http:server", message=msg, level=level)
+
+    def stop(self) -> None:
+        """Stops after every request that has arrived is answered.
+
+        Connections that wait to be accepted and kept connections with unread
+        bytes carry requests; closing them would cut those off.
+        """
+        with self.stop_lock:
+            if self.ready:
+                self._stop()
+
+    def _stop(self) -> None:
+        self.closing = True
+        self._connections._stop_requested = True
+        # A connection wakes the selector, which else sleeps for 0.5 s.
+        with contextlib.suppress(OSError):
+            socket.create_connection(self.bind_addr, WAKE_TIMEOUT_S).close()
+        self._connections.stop()
+        idle = [c for _, c in self._connections._selector.connections]
+        idle = [c for c in idle if c is not self]
+        self.ready = False
+        self._unservicable_conns.put(_server._STOPPING_FOR_INTERRUPT)
+        for conn in [*idle, *self._waiting()]:
+            if _has_bytes(conn):
+                self.process_conn(conn)
+            else:
+                conn.close()
+        self.socket.close()
+        self._connections._selector.close()
+        # Waits for ever: the handlers of the requests end by their deadlines.
+        self.requests.stop(timeout=None)
+
+    def _waiting(self) -> Iterator[Any]:
+        self.socket.settimeout(0)
+        accept = self._connections._from_server_socket
+        while (conn := accept(self.socket)) is not None:
+            yield conn
+
+    def _serve_unservicable(self) -> None:
+        while True:
+            conn = self._unservicable_conns.get()
+            if conn is _server._STOPPING_FOR_INTERRUPT:
+                return
+            _Request(self, conn).simple_response("503 Service Unavailable")
+            with contextlib.suppress(OSError):
+                conn.close()
+
+
+def _has_bytes(conn: Any) -> bool:
+    if conn.rfile.has_data():
+        return True
+    try:
+        conn.socket.settimeout(0)
+        return bool(conn.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- /dev/null
+++ b/src/guavapulley/adapters/http/_upstream_client.py
@@ -0,0 +1,153 @@
+"""Sends requests to upstreams with urllib3 in threads."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import functools
+import math
+from typing import TypeVar
+
+import trio
+
+from guavapulley import model
+from guavapulley.adapters.http import _connection
+from guavapulley.adapters.http import _headers
+from guavapulley.adapters.http import _pool
+
+T = TypeVar("T")
+
+# More than all classes admit together, so that no request waits for a thread.
+MAX_THREADS = 512
+_REPLACED = frozenset(
+    {_headers.REQUEST_ID.lower(), _headers.DEADLINE_MS.lower()}
+)
+
+
+def whole_limit(upstream: model.UpstreamRecord) -> int:
+    """Returns all connections that an upstream accepts."""
+    return upstream.max_connections
+
+
+class PooledAnswer:
+    """`ports.UpstreamAnswer` on a pooled connection."""
+
+    def __init__(
+        self,
+        head: model.AnswerHead,
+        first: bytes,
+        client: "UrllibUpstreamClient",
+        address: model.NodeAddress,
+        connection: _connection.UpstreamConnection,
+    ) -> None:
+        self.head = head
+        self.first = first
+        self.client = client
+        self.address = address
+        self.connection = connection
+        self.closed = False
+        if connection.complete:
+            self._release()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body; see `ports.UpstreamAnswer`."""
+        if self.first:
+            yield self.first
+        while not self.closed:
+            chunk = await self.client.run(self.connection, self.connection.read)
+            if self.connection.complete:
+                self._release()
+            if chunk:
+                yield chunk
+
+    async def aclose(self) -> None:
+        """Ends the answer; see `ports.UpstreamAnswer`."""
+        self._release()
+
+    def _release(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.client.pool.give_back(self.address, self.connection)
+
+
+class UrllibUpstreamClient:
+    """`ports.UpstreamClient` over urllib3 connections.
+
+    Args:
+        share: Returns the connections that may be opened to an upstream.
+        max_threads: Requests that can be in progress at a time.
+    """
+
+    def __init__(
+        self,
+        share: _pool.ConnectionShare = whole_limit,
+        max_threads: int = MAX_THREADS,
+    ) -> None:
+        self.pool = _pool.ConnectionPool(share)
+        self.limiter = trio.CapacityLimiter(max_threads)
+
+    async def send(
+        self,
+        upstream: model.UpstreamRecord,
+        request: model.SteeredRequest,
+        *,
+        timeout_s: float,
+        new_connection: bool = False,
+    ) -> PooledAnswer:
+        """Sends a request; see `ports.UpstreamClient`."""
+        connection = self.pool.take(upstream, new_connection)
+        exchange = functools.partial(
+            connection.exchange, _dispatch(request, timeout_s)
+        )
+        try:
+            with trio.fail_after(timeout_s):
+                head, first = await self.run(connection, exchange)
+        except trio.TooSlowError as error:
+            self.pool.discard(upstream.address, connection)
+            raise _connection.broken(
+                connection.not_run,
+                f"{upstream.upstream} did not answer in time",
+            ) from error
+        except BaseException:
+            self.pool.discard(upstream.address, connection)
+            raise
+        return PooledAnswer(head, first, self, upstream.address, connection)
+
+    async def run(
+        self,
+        connection: _connection.UpstreamConnection,
+        function: Callable[[], T],
+    ) -> T:
+        """Runs a blocking call; cancelling shuts its socket down."""
+        try:
+            return await trio.to_thread.run_sync(
+                function, limiter=self.limiter, abandon_on_cancel=True
+            )
+        except trio.Cancelled:
+            connection.abort()
+            raise
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self.pool.close()
+
+
+def _dispatch(
+    request: model.SteeredRequest, timeout_s: float
+) -> _connection.Dispatch:
+    passed = (
+        (name, value)
+        for name, value in _headers.end_to_end(request.headers)
+        if name.lower() not in _REPLACED
+    )
+    deadline_ms = str(max(1, math.floor(timeout_s * 1_000)))
+    return _connection.Dispatch(
+        request.method,
+        request.path,
+        (
+            *passed,
+            (_headers.REQUEST_ID, request.request_id),
+            (_headers.DEADLINE_MS, deadline_ms),
+        ),
+        request.body,
+        request.request_id,
+        timeout_s,
+    )
--- a/src/guavapulley/model/_requests.py
+++ b/src/guavapulley/model/_requests.py
@@ -108,6 +108,7 @@
         headers: Headers as received.
         body: Whole body.
         peer_host: IP address of the other side.
+        raw_path: Path as received, for passing on without decoding.
     """
 
     method: str
@@ -116,6 +117,7 @@
     headers: Headers = ()
     body: bytes = b""
     peer_host: str = ""
+    raw_path: str = ""
 
     def header(self, name: str) -> str | None:
         """Returns the first header of a name, ignoring case."""
