Add the harness that starts a deployment for integration tests

Cause: proofs under failure need real processes on loopback behind the fault proxy. Change: settings, start, stop, signals and isolation of processes. Measured: not run yet; the roles are not on main. Conclusion: to be exercised as soon as the roles can be started.

--- /dev/null
+++ b/tests/integration/deployment.py
@@ -0,0 +1,217 @@
+"""Starts the processes of a small deployment on loopback addresses.
+
+Each process has a loopback address of its own. Peer traffic passes through the
+fault proxy: a process listens on 127.0.0.N and announces 127.0.1.N.
+"""
+
+from collections.abc import Callable
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+
+import attrs
+from tests.integration import fault_proxy
+import trio
+import urllib3
+
+from guavapulley import model
+
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 30
+TOKENS = {
+    "cluster.key": "integration-cluster-key-0001",
+    "operator.token": "integration-operator-token-1",
+    "upstream.token": "integration-upstream-token-1",
+}
+SETTINGS = """\
+[node]
+name = {name}
+region = {region}
+failure_domain = {region}-1
+
+[listen]
+http = {http}
+peer = {peer}
+
+[announce]
+peer = {announced}
+
+[control]
+peers = {control_peers}
+
+[entries]
+seeds = {seeds}
+
+[files]
+data_folder = {name}.data
+log_file = {name}.log
+cluster_key_file = cluster.key
+operator_token_file = operator.token
+upstream_token_file = upstream.token
+"""
+
+
+@attrs.define
+class Node:
+    """One process of the deployment."""
+
+    name: str
+    role: str
+    region: str
+    host: str
+    http: model.NodeAddress
+    peer: model.NodeAddress
+    announced: model.NodeAddress
+    process: trio.Process | None = None
+
+    @property
+    def proxied_host(self) -> str:
+        """Returns the address at which peers reach the process."""
+        return self.announced.host
+
+
+class Deployment:
+    """Processes of the system, stand-in upstreams and the fault proxy."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        nursery: trio.Nursery,
+        free_port: Callable[[], int],
+        executable: tuple[str, ...] = (sys.executable, "-m", "guavapulley"),
+    ) -> None:
+        self.folder = folder
+        self.nursery = nursery
+        self.free_port = free_port
+        self.executable = executable
+        self.proxy = fault_proxy.FaultProxy(nursery)
+        self.nodes: dict[str, Node] = {}
+        self.processes: list[trio.Process] = []
+        self.http = urllib3.PoolManager(maxsize=64, retries=False)
+        for name, text in TOKENS.items():
+            path = folder / name
+            path.write_text(text)
+            path.chmod(0o600)
+
+    async def add(self, name: str, role: str, region: str, number: int) -> Node:
+        """Describes a process and opens its proxied address."""
+        node = Node(
+            name,
+            role,
+            region,
+            f"127.0.0.{number}",
+            model.NodeAddress(f"127.0.0.{number}", self.free_port()),
+            model.NodeAddress(f"127.0.0.{number}", self.free_port()),
+            model.NodeAddress(f"127.0.1.{number}", self.free_port()),
+        )
+        self.nodes[name] = node
+        await self.proxy.forward(
+            node.host,
+            (node.announced.host, node.announced.port),
+            (node.peer.host, node.peer.port),
+        )
+        return node
+
+    def of_role(self, role: str) -> list[Node]:
+        """Returns the nodes of a role."""
+        return [node for node in self.nodes.values() if node.role == role]
+
+    def write_settings(self) -> None:
+        """Writes the settings of every process."""
+        control = ", ".join(str(n.announced) for n in self.of_role("control"))
+        seeds = ", ".join(str(n.announced) for n in self.of_role("entry"))
+        for node in self.nodes.values():
+            text = SETTINGS.format(
+                name=node.name,
+                region=node.region,
+                http=node.http,
+                peer=node.peer,
+                announced=node.announced,
+                control_peers=control,
+                seeds=seeds,
+            )
+            (self.folder / f"{node.name}.ini").write_text(text)
+
+    async def start(self, name: str) -> None:
+        """Starts a process and waits until it answers over HTTP."""
+        node = self.nodes[name]
+        node.process = await self.spawn(
+            node.role, "run", "--settings", f"{name}.ini"
+        )
+        await self.eventually(
+            lambda: self.status(node) is not None, START_TIMEOUT_S, name
+        )
+
+    async def spawn(self, *arguments: str) -> trio.Process:
+        """Starts the executable; its output goes to a file."""
+        with (self.folder / "processes.out").open("ab") as output:
+            process = await trio.lowlevel.open_process(
+                [*self.executable, *arguments],
+                cwd=self.folder,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        self.processes.append(process)
+        return process
+
+    async def command(self, *arguments: str) -> tuple[int, str]:
+        """Runs the command line and returns exit status and output."""
+        result = await trio.run_process(
+            [*self.executable, *arguments],
+            cwd=self.folder,
+            capture_stdout=True,
+            stderr=subprocess.STDOUT,
+            check=False,
+        )
+        return result.returncode, result.stdout.decode()
+
+    async def kill(self, name: str, number: int = signal.SIGKILL) -> None:
+        """Sends a signal to a process; waits for its end where it ends it."""
+        process = self.nodes[name].process
+        assert process is not None
+        process.send_signal(number)
+        if number in {signal.SIGKILL, signal.SIGTERM}:
+            with trio.fail_after(STOP_TIMEOUT_S):
+                await process.wait()
+
+    def isolate(self, name: str) -> None:
+        """Cuts a node from all others without closing connections."""
+        host = self.nodes[name].host
+        others = [n.host for n in self.nodes.values() if n.host != host]
+        self.proxy.isolate(host, others)
+
+    def status(self, node: Node) -> dict[str, object] | None:
+        """Returns the status of a process, or None when it gives none."""
+        try:
+            answer = self.http.request(
+                "GET", f"http://{node.http}/v1/status", timeout=2
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        return dict(json.loads(answer.data)) if answer.status == 200 else None
+
+    async def eventually(
+        self, condition: Callable[[], bool], timeout_s: float, what: str
+    ) -> float:
+        """Waits for a condition and returns how long it took, in seconds.
+
+        Raises:
+            TimeoutError: The condition was not met in time.
+        """
+        started = trio.current_time()
+        while trio.current_time() < started + timeout_s:
+            if await trio.to_thread.run_sync(condition):
+                return trio.current_time() - started
+            await trio.sleep(0.05)
+        raise TimeoutError(f"{what}: not met within {timeout_s} s")
+
+    def end(self) -> None:
+        """Ends the processes that this deployment started."""
+        for process in self.processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
