Replicate a log among three replicas in memory

Cause: the control package needs a replicated log to build its state machine on. AppendEntries carries the leader's quorum age.

--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -78,7 +78,12 @@
 
 @attrs.frozen
 class RequestVote:
-    """Asks for a vote; `pre_vote` only asks whether it would be given."""
+    """Asks for a vote; `pre_vote` only asks whether it would be given.
+
+    Attributes:
+        target: Replica ID that is asked. A VM that lost its disk listens on the
+            address of its old identity and must not answer for it.
+    """
 
     cluster_id: str
     term: int
@@ -86,6 +91,7 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    target: str = ""
 
 
 @attrs.frozen
@@ -98,7 +104,12 @@
 
 @attrs.frozen
 class AppendEntries:
-    """Replicates entries; without entries it is the heartbeat."""
+    """Replicates entries; without entries it is the heartbeat.
+
+    Attributes:
+        target: Replica ID that is addressed; see `RequestVote`.
+        quorum_age_s: Seconds since the leader knew of a quorum.
+    """
 
     cluster_id: str
     term: int
@@ -107,6 +118,8 @@
     previous_term: int
     entries: tuple[LogEntry, ...]
     commit_index: int
+    target: str = ""
+    quorum_age_s: float = 0.0
 
 
 @attrs.frozen
@@ -133,6 +146,7 @@
     Attributes:
         offset: Position of this chunk in the encoded snapshot.
         total: Bytes of the encoded snapshot.
+        target: Replica ID that is addressed; see `RequestVote`.
     """
 
     cluster_id: str
@@ -143,6 +157,7 @@
     offset: int
     total: int
     data: bytes
+    target: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/consensus/conftest.py
@@ -0,0 +1,179 @@
+"""A cluster of replicas with in-memory ports on a paused clock."""
+
+import random
+
+import attrs
+import pytest
+import trio
+
+from guavapulley import consensus
+from guavapulley import model
+from guavapulley import ports
+from guavapulley.adapters import codec
+from guavapulley.adapters import memory
+
+CODEC = codec.MessageCodec()
+MAX_DELAY_S = 0.035
+
+
+class Machine:
+    """State machine that records what it applied."""
+
+    def __init__(self):
+        self.applied = []
+
+    def apply(self, index, payload):
+        self.applied.append((index, payload))
+        return index
+
+    def snapshot(self):
+        return b"\n".join(b"%d %s" % item for item in self.applied)
+
+    def restore(self, state):
+        pairs = (line.split(b" ", 1) for line in state.splitlines())
+        self.applied = [(int(index), payload) for index, payload in pairs]
+
+
+class Events(ports.NullEventLog):
+    """Collects the events of all nodes."""
+
+    def __init__(self, name, collected):
+        self.name, self.collected = name, collected
+
+    def write(self, event, **fields):
+        self.collected.append((self.name, event, fields))
+
+
+@attrs.define
+class Node:
+    name: str
+    address: model.NodeAddress
+    disk: memory.MemoryDisk
+    replica: consensus.Replica | None = None
+    machine: Machine | None = None
+    scope: trio.CancelScope | None = None
+    error: Exception | None = None
+
+
+class Cluster:
+    """Nodes c1, c2, ... of which each can crash, restart and lose its disk."""
+
+    def __init__(self, nursery, seed, count=3, make=consensus.Replica, **sets):
+        self.nursery, self.rng = nursery, random.Random(seed)
+        self.make = make
+        self.settings = consensus.ConsensusSettings(**sets)
+        self.events = []
+        self.extra_delay = {}
+        self.network = memory.MemoryNetwork(self._delay)
+        self.nodes = [
+            Node(f"c{at}", model.NodeAddress("m", at), memory.MemoryDisk())
+            for at in range(1, count + 1)
+        ]
+
+    def _delay(self, source, target):
+        extra = self.extra_delay.get((source, target), 0)
+        return self.rng.uniform(0, MAX_DELAY_S) + self.rng.uniform(0, extra)
+
+    async def start(self, *nodes):
+        if self.network.nursery is None:
+            await self.nursery.start(self.network.run)
+        for node in nodes or self.nodes:
+            await self.nursery.start(self._run, node)
+
+    async def _run(self, node, task_status):
+        node.machine = Machine()
+        node.replica = self.make(
+            node.name,
+            node.address,
+            [other.address for other in self.nodes],
+            memory.MemoryStore(node.disk, self.rng),
+            self.network.dialer(node.address),
+            CODEC,
+            node.machine,
+            Events(node.name, self.events),
+            ports.NullMetrics(),
+            self.rng,
+            self.settings,
+        )
+        node.error = None
+        with trio.CancelScope() as node.scope:
+            try:
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(node.replica.run)
+                    await nursery.start(
+                        self.network.serve, node.address, node.replica
+                    )
+                    task_status.started()
+            except* consensus.ConsensusError as group:
+                node.error = group.exceptions[0]
+        node.scope = None
+
+    async def crash(self, node, *, lose_disk=False):
+        if node.scope is not None:
+            node.scope.cancel()
+        await self.wait_for(lambda: node.scope is None)
+        if lose_disk:
+            node.disk = memory.MemoryDisk()
+
+    def running(self):
+        return [node for node in self.nodes if node.scope is not None]
+
+    def cut(self, *isolated):
+        for inside in isolated:
+            for node in self.nodes:
+                if node not in isolated:
+                    self.cut_one_way(inside, node)
+                    self.cut_one_way(node, inside)
+
+    def cut_one_way(self, source, target):
+        self.network.cuts.add((source.address, target.address))
+
+    def heal(self):
+        self.network.cuts.clear()
+        self.extra_delay.clear()
+
+    async def wait_for(self, condition, timeout_s=60):
+        with trio.fail_after(timeout_s):
+            # The conditions read the state of several replicas, which have
+            # no event in common.
+            while not condition():  # noqa: ASYNC110
+                await trio.sleep(0.01)
+
+    def leader(self):
+        leaders = [
+            n for n in self.running() if n.replica.leadership().is_leader
+        ]
+        return max(
+            leaders, key=lambda n: n.replica.leadership().term, default=None
+        )
+
+    async def form(self):
+        """Starts all nodes and waits until all are voters."""
+        await self.start()
+        await self.nodes[0].replica.create_cluster()
+        await self.wait_for(lambda: self.all_voters(len(self.nodes)))
+        return self
+
+    def all_voters(self, count):
+        return all(
+            sum(m.voter for m in n.replica.status().replicas.members) == count
+            and len(n.replica.status().replicas.members) == count
+            for n in self.running()
+        )
+
+    async def propose(self, payload, timeout_s=2):
+        """Proposes until accepted, as a client with a patient operator."""
+        with trio.fail_after(60):
+            while True:
+                leader = self.leader()
+                try:
+                    if leader is not None:
+                        return await leader.replica.propose(payload, timeout_s)
+                except consensus.ConsensusError:
+                    pass
+                await trio.sleep(0.1)
+
+
+@pytest.fixture
+def make_cluster():
+    return Cluster
