Add steering: choice of upstreams, queues, retries, hedges, link shares

Cause: entries had no decision about where a request goes. Change: Steerer with a pipeline of rules that keeps the reason of each exclusion, division of slots among live entries with bounded borrowing, comparison of latencies with peers, probation, slow start, intents, budgets for retries and hedges, and token buckets for links. Measured: unit tests only, listed below; no load was run yet. Two faults were found by them: the limit on outliers kept upstreams that fail in use, and hedges were spent on latencies equal to the quantile. Conclusion: usable by serving; the policy is measured next.

--- /dev/null
+++ b/src/guavapulley/steering/_catalog.py
@@ -0,0 +1,133 @@
+"""Upstreams of a service under the configuration in force."""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+
+import attrs
+import xxhash
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley import selectors
+from guavapulley.steering import _division
+
+DEFAULT_HEADROOM_PERCENT = 10.0
+
+
+@attrs.frozen
+class Labelled:
+    """An upstream with its effective labels.
+
+    Attributes:
+        known: What the entry knows of it.
+        labels: Announced, automatic and operators' labels.
+        drain: Name of a drain that covers it, if any.
+    """
+
+    known: ports.KnownUpstream
+    labels: model.Labels
+    drain: str | None
+
+    @property
+    def name(self) -> str:
+        """Name of the upstream."""
+        return self.known.record.upstream
+
+    @property
+    def region(self) -> str:
+        """Region of the upstream."""
+        return self.known.record.region
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may receive new work at all."""
+        return (
+            self.drain is None
+            and self.known.record.state is model.UpstreamState.READY
+            and self.known.freshness is not ports.Freshness.EXPIRED
+        )
+
+
+def labelled(
+    upstreams: Sequence[ports.KnownUpstream],
+    configuration: model.Configuration,
+) -> Iterator[Labelled]:
+    """Yields the upstreams with the labels that operators set."""
+    overrides = [
+        (selectors.parse(o.upstreams), o.labels)
+        for o in configuration.objects
+        if isinstance(o, model.LabelOverride)
+    ]
+    drains = [
+        (selectors.parse(o.upstreams), o.name)
+        for o in configuration.objects
+        if isinstance(o, model.Drain)
+    ]
+    for known in upstreams:
+        announced = known.record.all_labels()
+        labels = dict(announced)
+        for selector, changed in overrides:
+            if selector.matches(announced):
+                labels.update(changed)
+        labels = {key: value for key, value in labels.items() if value}
+        covering = (name for s, name in drains if s.matches(labels))
+        yield Labelled(known, labels, next(covering, None))
+
+
+def divisible(upstreams: Sequence[Labelled]) -> list[_division.Divisible]:
+    """Returns the upstreams whose slots are divided among entries."""
+    return [
+        _division.Divisible(u.name, u.region, u.known.record.slots)
+        for u in upstreams
+        if u.usable
+    ]
+
+
+def region_limits(
+    configuration: model.Configuration,
+) -> dict[str, model.RegionLimit]:
+    """Returns the limits of regions by name."""
+    return {
+        o.name: o
+        for o in configuration.objects
+        if isinstance(o, model.RegionLimit)
+    }
+
+
+def capacities(
+    upstreams: Sequence[_division.Divisible],
+    limits: dict[str, model.RegionLimit],
+) -> dict[str, int]:
+    """Returns how many requests each region may run at a time."""
+    found: dict[str, int] = {}
+    for upstream in upstreams:
+        found[upstream.region] = found.get(upstream.region, 0) + upstream.slots
+    for region, slots in found.items():
+        limit = limits.get(region)
+        if limit is not None and limit.max_in_flight > 0:
+            found[region] = min(slots, limit.max_in_flight)
+    return found
+
+
+def chosen_intent(
+    request: model.SteeredRequest, intents: Sequence[model.Intent]
+) -> model.Intent | None:
+    """Returns the intent that takes a request, or None for the default.
+
+    The hash of the request ID is a point between 0 and 1. An intent takes the
+    points below its share; the other points are stretched to the whole range
+    for the next intent. A repeated request therefore gets the same intent.
+
+    Args:
+        request: The request with all its labels.
+        intents: Intents from the highest priority down.
+    """
+    point = xxhash.xxh64_intdigest(request.request_id.encode()) / 2**64
+    for intent in intents:
+        if not selectors.parse(intent.requests).matches(request.labels):
+            continue
+        share = intent.share_percent / 100
+        if point < share:
+            return intent
+        point = (point - share) / (1 - share)
+    return None
--- /dev/null
+++ b/src/guavapulley/steering/_division.py
@@ -0,0 +1,153 @@
+"""Division of the slots of upstreams among entries.
+
+Every entry computes the same division from the same records, so that all
+entries together use each slot once without asking each other.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import attrs
+import xxhash
+
+
+@attrs.frozen
+class Divisible:
+    """An upstream whose slots are divided."""
+
+    upstream: str
+    region: str
+    slots: int
+
+
+@attrs.frozen
+class Claimant:
+    """An entry that gets slots."""
+
+    entry: str
+    region: str
+
+
+@attrs.frozen
+class SlotId:
+    """One slot of an upstream; slots are numbered from 0."""
+
+    upstream: str
+    number: int
+
+
+def divide(
+    upstreams: Sequence[Divisible],
+    claimants: Sequence[Claimant],
+    capacities: Mapping[str, int],
+) -> dict[str, list[SlotId]]:
+    """Divides all slots among the claimants.
+
+    Each claimant is entitled to an equal part of all slots. It gets it from
+    its own region as far as that has enough, and the rest from regions that
+    have slots left over, such as when its own region has failed.
+
+    >>> owned = divide(
+    ...     [Divisible("a", "pb", 3), Divisible("b", "za", 3)],
+    ...     [Claimant("e1", "pb"), Claimant("e2", "za")],
+    ...     {"pb": 3, "za": 3},
+    ... )
+    >>> [slot.upstream for slot in owned["e1"]]
+    ['a', 'a', 'a']
+
+    Args:
+        upstreams: Upstreams of one service.
+        claimants: Live entries.
+        capacities: Requests that each region may run at a time; slots over it
+            belong to nobody.
+
+    Returns:
+        The slots of each claimant by its name.
+    """
+    order = sorted(claimants, key=lambda c: c.entry)
+    owned: dict[str, list[SlotId]] = {c.entry: [] for c in order}
+    quotas = _quotas(order, capacities)
+    for region in sorted(capacities):
+        inside = sorted(
+            (u for u in upstreams if u.region == region),
+            key=lambda u: u.upstream,
+        )
+        places = _rounded(quotas, region, capacities[region])
+        turns = _turns(places)
+        for slot, entry in zip(_slots(inside), turns, strict=False):
+            owned[entry].append(slot)
+    return owned
+
+
+def _quotas(
+    claimants: Sequence[Claimant], capacities: Mapping[str, int]
+) -> dict[tuple[str, str], float]:
+    """Returns the part of each claimant in each region."""
+    if not claimants:
+        return {}
+    fair = sum(capacities.values()) / len(claimants)
+    left = {region: float(slots) for region, slots in capacities.items()}
+    residents: dict[str, int] = {}
+    for claimant in claimants:
+        residents[claimant.region] = residents.get(claimant.region, 0) + 1
+    quotas: dict[tuple[str, str], float] = {}
+    lacking: dict[str, float] = {}
+    for claimant in claimants:
+        region = claimant.region
+        near = min(fair, capacities.get(region, 0) / residents[region])
+        quotas[claimant.entry, region] = near
+        lacking[claimant.entry] = fair - near
+        if region in left:
+            left[region] -= near
+    total = sum(lacking.values())
+    if total <= 0:
+        return quotas
+    for region, slots in left.items():
+        for entry, lack in lacking.items():
+            key = (entry, region)
+            quotas[key] = quotas.get(key, 0.0) + slots * lack / total
+    return quotas
+
+
+def _rounded(
+    quotas: Mapping[tuple[str, str], float], region: str, capacity: int
+) -> dict[str, int]:
+    """Rounds the parts in a region by the largest remainders."""
+    parts = {e: q for (e, r), q in quotas.items() if r == region and q > 0}
+    places = {entry: int(part + 1e-9) for entry, part in parts.items()}
+    spare = capacity - sum(places.values())
+    by_remainder = sorted(
+        parts,
+        key=lambda e: (
+            places[e] - parts[e],
+            xxhash.xxh64_intdigest(f"{region}/{e}".encode()),
+        ),
+    )
+    for entry in by_remainder[:spare]:
+        places[entry] += 1
+    return places
+
+
+def _turns(places: Mapping[str, int]) -> Iterator[str]:
+    """Yields the entries in turn, each as often as it has places."""
+    remaining = dict(places)
+    while any(remaining.values()):
+        for entry, count in remaining.items():
+            if count:
+                remaining[entry] = count - 1
+                yield entry
+
+
+def _slots(upstreams: Sequence[Divisible]) -> Iterator[SlotId]:
+    """Yields the slots, each round with another first upstream.
+
+    Without the rotation an entry would own all slots of the same upstream and
+    depend on it alone.
+    """
+    rounds = max((u.slots for u in upstreams), default=0)
+    for number in range(rounds):
+        start = number % len(upstreams)
+        for upstream in [*upstreams[start:], *upstreams[:start]]:
+            if number < upstream.slots:
+                yield SlotId(upstream.upstream, number)
--- /dev/null
+++ b/src/guavapulley/steering/_latency.py
@@ -0,0 +1,224 @@
+"""Own latency measurements, and upstreams that are slower than their peers."""
+
+import collections
+from collections.abc import Iterable
+import enum
+import statistics
+
+import attrs
+
+from guavapulley.steering import _settings
+
+SAMPLES_PER_UPSTREAM = 7
+# Older samples describe another mix of requests.
+SAMPLE_AGE_S = 30.0
+RECENT_LATENCIES = 512
+# The quantile is computed again after this many new latencies.
+QUANTILE_EVERY = 32
+MIN_QUANTILE_SAMPLES = 20
+MIN_PEERS = 2
+# Where latencies hardly vary, the quantile alone is reached by half of them.
+HEDGE_MIN_FACTOR = 1.5
+
+
+class Standing(enum.StrEnum):
+    """Whether an upstream gets requests by its own latency."""
+
+    NORMAL = "normal"
+    EXCLUDED = "excluded"
+    PROBING = "probing"
+
+
+@attrs.define
+class UpstreamLatency:
+    """Latencies and probation of one upstream.
+
+    Attributes:
+        incarnation: Incarnation that was measured.
+        samples: Times and latencies in seconds, newest last.
+        failures: Failed attempts since the last answer.
+        level: Probations since the last return to normal.
+        excluded_until_s: End of the exclusion; None outside of a probation.
+        good_probes: Probes of normal latency in this probation.
+    """
+
+    incarnation: int = 0
+    samples: collections.deque[tuple[float, float]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=SAMPLES_PER_UPSTREAM)
+    )
+    failures: int = 0
+    level: int = 0
+    excluded_until_s: float | None = None
+    good_probes: int = 0
+
+    def recent(self, now_s: float) -> list[float]:
+        """Returns the latencies that are not too old."""
+        oldest = now_s - SAMPLE_AGE_S
+        return [latency for time, latency in self.samples if time >= oldest]
+
+    def standing(self, now_s: float) -> Standing:
+        """Returns the standing at a time."""
+        if self.excluded_until_s is None:
+            return Standing.NORMAL
+        if now_s < self.excluded_until_s:
+            return Standing.EXCLUDED
+        return Standing.PROBING
+
+
+class PeerLatencies:
+    """Latencies of the upstreams of one service in one region.
+
+    An upstream is compared with the median of its peers, so that a changed
+    mix of requests, which slows all of them, makes no outlier.
+    """
+
+    def __init__(self, settings: _settings.SteeringSettings) -> None:
+        self.settings = settings
+        self.upstreams: dict[str, UpstreamLatency] = {}
+        self.latencies: collections.deque[float] = collections.deque(
+            maxlen=RECENT_LATENCIES
+        )
+        self.quantile_s: float | None = None
+        self.since_quantile = 0
+
+    def of(self, upstream: str, incarnation: int) -> UpstreamLatency:
+        """Returns the state of an upstream; a new incarnation starts anew."""
+        found = self.upstreams.get(upstream)
+        if found is None or found.incarnation < incarnation:
+            found = UpstreamLatency(incarnation)
+            self.upstreams[upstream] = found
+        return found
+
+    def forget_others(self, names: Iterable[str]) -> None:
+        """Forgets upstreams that are not named."""
+        known = set(names)
+        for name in [n for n in self.upstreams if n not in known]:
+            del self.upstreams[name]
+
+    def typical_s(self, now_s: float, without: str = "") -> float | None:
+        """Returns the median of the medians of the upstreams.
+
+        Args:
+            now_s: Now.
+            without: Upstream that is left out.
+        """
+        medians = [
+            statistics.median(recent)
+            for name, state in self.upstreams.items()
+            if name != without and (recent := state.recent(now_s))
+        ]
+        if len(medians) < MIN_PEERS:
+            return None
+        return statistics.median(medians)
+
+    def ratio(self, upstream: str, now_s: float) -> float:
+        """Returns the latency as a multiple of that of the peers.
+
+        1 is returned while there are too few samples to tell.
+        """
+        state = self.upstreams.get(upstream)
+        recent = state.recent(now_s) if state else []
+        if len(recent) < self.settings.min_slow_samples:
+            return 1.0
+        typical = self.typical_s(now_s, upstream)
+        return statistics.median(recent) / typical if typical else 1.0
+
+    def hedge_delay_s(self) -> float | None:
+        """Returns the time after which a request is slow for its peers."""
+        return self.quantile_s
+
+    def answered(self, upstream: str, now_s: float, latency_s: float) -> None:
+        """Records a whole answer."""
+        self.latencies.append(latency_s)
+        self.since_quantile += 1
+        if self.since_quantile >= QUANTILE_EVERY or self.quantile_s is None:
+            self._update_quantile()
+        self.upstreams[upstream].failures = 0
+        self._sampled(upstream, now_s, latency_s)
+
+    def overtaken(self, upstream: str, now_s: float, elapsed_s: float) -> None:
+        """Records an attempt that was cancelled because its hedge won.
+
+        The latency is unknown but longer than the elapsed time; a typical
+        latency is taken for the rest.
+        """
+        rest = self.typical_s(now_s, upstream) or 0.0
+        self._sampled(upstream, now_s, elapsed_s + rest)
+
+    def failed(self, upstream: str, now_s: float) -> None:
+        """Records an attempt without a whole answer.
+
+        Failures are often fast, and an upstream that fails fast has few
+        requests in flight; without probation it would attract all requests.
+        The limit on outliers does not hold here, because a failure needs no
+        comparison with peers.
+        """
+        state = self.upstreams[upstream]
+        state.failures += 1
+        if state.standing(now_s) is Standing.PROBING or state.failures >= 2:
+            self._exclude(state, now_s)
+
+    def _may_exclude(self, state: UpstreamLatency) -> bool:
+        """Returns whether enough peers remain without one more outlier."""
+        if state.excluded_until_s is not None:
+            return True
+        others = sum(
+            1
+            for other in self.upstreams.values()
+            if other.excluded_until_s is not None
+        )
+        return others + 1 <= self.settings.max_outlier_part * len(
+            self.upstreams
+        )
+
+    def _sampled(self, upstream: str, now_s: float, latency_s: float) -> None:
+        state = self.upstreams[upstream]
+        state.samples.append((now_s, latency_s))
+        standing = state.standing(now_s)
+        typical = self.typical_s(now_s, upstream)
+        if typical is None:
+            return
+        limit = typical * self.settings.slow_factor
+        if standing is Standing.PROBING:
+            self._probed(state, now_s, slow=latency_s > limit)
+        elif standing is Standing.NORMAL:
+            recent = state.recent(now_s)
+            slow = sum(1 for sample in recent if sample > limit)
+            if (
+                slow >= self.settings.min_slow_samples
+                and statistics.median(recent) > limit
+                and self._may_exclude(state)
+            ):
+                self._exclude(state, now_s)
+
+    def _probed(
+        self, state: UpstreamLatency, now_s: float, *, slow: bool
+    ) -> None:
+        if slow:
+            self._exclude(state, now_s)
+            return
+        state.good_probes += 1
+        if state.good_probes >= self.settings.good_probes:
+            state.excluded_until_s = None
+            state.level = 0
+            state.samples.clear()
+
+    def _exclude(self, state: UpstreamLatency, now_s: float) -> None:
+        duration = min(
+            self.settings.max_probation_s,
+            self.settings.probation_s * 2**state.level,
+        )
+        state.level += 1
+        state.good_probes = 0
+        state.excluded_until_s = now_s + duration
+
+    def _update_quantile(self) -> None:
+        self.since_quantile = 0
+        if len(self.latencies) >= MIN_QUANTILE_SAMPLES:
+            ordered = sorted(self.latencies)
+            rank = int(self.settings.hedge_quantile * len(ordered))
+            median = ordered[len(ordered) // 2]
+            self.quantile_s = max(
+                ordered[min(rank, len(ordered) - 1)],
+                HEDGE_MIN_FACTOR * median,
+            )
--- /dev/null
+++ b/src/guavapulley/steering/_services.py
@@ -0,0 +1,153 @@
+"""What one entry knows of one service: upstreams, slots, latencies, queues."""
+
+from collections.abc import Sequence
+
+import trio
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley.steering import _budgets
+from guavapulley.steering import _catalog
+from guavapulley.steering import _latency
+from guavapulley.steering import _settings
+from guavapulley.steering import _slots
+
+# Weight of the newest request in the mean time of requests.
+MEAN_WEIGHT = 0.05
+
+
+class Lane:
+    """First-in-first-out queue of the requests with the same choice."""
+
+    def __init__(self) -> None:
+        self.turn = trio.StrictFIFOLock()
+        self.waiting = 0
+
+
+class ServiceState:
+    """State of one service in one entry.
+
+    The view is compared by identity on each use, so that a drain or an
+    override takes effect on the next decision while unchanged views cost
+    nothing.
+    """
+
+    def __init__(
+        self,
+        service: model.Service,
+        view: ports.SteeringView,
+        entry: str,
+        region: str,
+        settings: _settings.SteeringSettings,
+    ) -> None:
+        self.service = service
+        self.view = view
+        self.settings = settings
+        self.slots = _slots.SlotBook(
+            entry, region, settings, trio.current_time()
+        )
+        self.latencies: dict[str, _latency.PeerLatencies] = {}
+        self.retries = _budgets.Budget(
+            settings.retry_percent, settings.budget_burst, settings.budget_burst
+        )
+        self.hedges = _budgets.Budget(
+            settings.hedge_percent, settings.budget_burst, settings.budget_burst
+        )
+        self.lanes: dict[str, Lane] = {}
+        self.changed = trio.Event()
+        self.mean_s = 0.0
+        self.upstreams: list[_catalog.Labelled] = []
+        self.seen_configuration: model.Configuration | None = None
+        self.seen_upstreams: Sequence[ports.KnownUpstream] = ()
+        self.seen_entries: Sequence[model.EntryRecord] = ()
+        self.division_key: object = None
+
+    def refresh(self) -> None:
+        """Takes over what changed in the view."""
+        now_s = trio.current_time()
+        configuration = self.view.configuration()
+        upstreams = self.view.upstreams(self.service.name)
+        entries = self.view.live_entries()
+        new_upstreams = (
+            configuration is not self.seen_configuration
+            or not _same_items(upstreams, self.seen_upstreams)
+        )
+        new_entries = not _same_items(entries, self.seen_entries)
+        if new_upstreams:
+            self.seen_configuration = configuration
+            self.seen_upstreams = tuple(upstreams)
+            self.upstreams = list(_catalog.labelled(upstreams, configuration))
+            self._forget_gone()
+        if new_entries:
+            self.seen_entries = tuple(entries)
+        if new_upstreams or new_entries:
+            self._divide(configuration, now_s)
+            self.slots.count_others(self.upstreams, self.seen_entries, now_s)
+
+    def _divide(self, configuration: model.Configuration, now_s: float) -> None:
+        limits = _catalog.region_limits(configuration)
+        key = (
+            _catalog.divisible(self.upstreams),
+            [(e.name, e.region) for e in self.seen_entries],
+            limits,
+            self.service.traffic_class,
+        )
+        if key == self.division_key:
+            return
+        self.division_key = key
+        self.slots.divide(
+            self.upstreams,
+            self.seen_entries,
+            limits,
+            self.service.traffic_class,
+            now_s,
+        )
+
+    def _forget_gone(self) -> None:
+        for region, peers in self.latencies.items():
+            peers.forget_others(
+                u.name
+                for u in self.upstreams
+                if u.region == region or self.slots.own[u.name]
+            )
+
+    def peers(self, region: str) -> _latency.PeerLatencies:
+        """Returns the latencies of the upstreams in a region.
+
+        Regions are compared apart because their distances differ.
+        """
+        if region not in self.latencies:
+            self.latencies[region] = _latency.PeerLatencies(self.settings)
+        return self.latencies[region]
+
+    def lane(self, intent: str) -> Lane:
+        """Returns the queue of an intent; empty for the default."""
+        if intent not in self.lanes:
+            self.lanes[intent] = Lane()
+        return self.lanes[intent]
+
+    def wake(self) -> None:
+        """Lets waiting requests look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def ran(self, duration_s: float) -> None:
+        """Counts the time that an attempt held its slot."""
+        if self.mean_s == 0.0:
+            self.mean_s = duration_s
+        self.mean_s += MEAN_WEIGHT * (duration_s - self.mean_s)
+
+    def expected_wait_s(self, ahead: int) -> float:
+        """Returns the time until a request can start.
+
+        Args:
+            ahead: Requests that wait before it.
+        """
+        running = max(1, sum(self.slots.own_by_region.values()))
+        return (ahead + 1) * self.mean_s / running
+
+
+def _same_items(first: Sequence[object], second: Sequence[object]) -> bool:
+    return len(first) == len(second) and all(
+        a is b for a, b in zip(first, second, strict=True)
+    )
--- /dev/null
+++ b/tests/steering/test_steerer.py
@@ -0,0 +1,275 @@
+"""Guards against requests that run where, when or as often as they must not."""
+
+import attrs
+import pytest
+from tests.steering import stubs
+import trio
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley import steering
+
+SHORT = model.Service("s", model.TrafficClass.SHORT, deadline_ms=2_000)
+ONCE = attrs.evolve(SHORT, traffic_class=model.TrafficClass.ONCE)
+BULK = attrs.evolve(SHORT, traffic_class=model.TrafficClass.BULK)
+A = stubs.record("a")
+B = stubs.record("b", domain="pb2", labels={"version": "2"})
+FAR = stubs.record("far", region="za", domain="za1")
+
+
+async def answer(upstream):
+    await trio.sleep(0.01)
+    return upstream.upstream
+
+
+def failing(*names, not_run=False):
+    async def attempt(upstream):
+        if upstream.upstream in names:
+            raise ports.UpstreamError(
+                ports.UPSTREAM_BROKEN, "broken", not_run=not_run
+            )
+        return await answer(upstream)
+
+    return attempt
+
+
+async def refusal(steerer, service=SHORT, attempt=answer, **fields):
+    with pytest.raises(steering.SteeringError) as caught:
+        await steerer.run(stubs.request(**fields), service, attempt)
+    return caught.value
+
+
+@pytest.mark.parametrize(
+    ("records", "objects", "detached", "expected", "reason"),
+    [
+        ([A, FAR], (), False, "a", "far nearer region"),
+        (
+            [A, B],
+            (model.Drain("d", "upstream = a"),),
+            False,
+            "b",
+            "a drain:d",
+        ),
+        (
+            [A, B],
+            (
+                model.LabelOverride("l", "upstream = a", {"old": "yes"}),
+                model.Drain("d", "old"),
+            ),
+            False,
+            "b",
+            "a drain:d",
+        ),
+        (
+            [attrs.evolve(A, state=model.UpstreamState.LEAVING), B],
+            (),
+            False,
+            "b",
+            "a leaving",
+        ),
+        (
+            [A, B],
+            (model.Intent("i", "", "version = 2"),),
+            False,
+            "b",
+            "a intent:i",
+        ),
+        ([A, FAR], (), True, "a", "far detached"),
+    ],
+)
+async def test_an_upstream_is_excluded_with_its_reason(
+    records, objects, detached, expected, reason, autojump_clock
+):
+    view = stubs.View(records, objects, is_detached=detached)
+    steerer = stubs.make_steerer(view)
+    for number in range(10):
+        got = await steerer.run(stubs.request(number), SHORT, answer)
+        assert got == expected
+    decision = steerer.explain("r9")
+    assert reason in {f"{e.upstream} {e.reason}" for e in decision.exclusions}
+    assert [(a.upstream, a.outcome) for a in decision.attempts] == [
+        (expected, "answered")
+    ]
+
+
+@pytest.mark.parametrize(
+    ("records", "objects", "detached"),
+    [
+        ([], (), False),
+        ([A], (model.Drain("d", ""),), False),
+        ([FAR], (), True),
+        ([A], (model.Intent("i", "", "version = 2"),), False),
+    ],
+)
+async def test_no_upstream_is_a_refusal_that_did_not_run(
+    records, objects, detached, autojump_clock
+):
+    view = stubs.View(records, objects, is_detached=detached)
+    error = await refusal(stubs.make_steerer(view))
+    assert (error.code, error.not_run) == (steering.NO_UPSTREAM, True)
+
+
+async def test_a_drain_takes_effect_on_the_next_decision(autojump_clock):
+    view = stubs.View([A, B])
+    steerer = stubs.make_steerer(view)
+    await steerer.run(stubs.request(), SHORT, answer)
+    view.objects = (model.Drain("d", "upstream = a"),)
+    got = {
+        await steerer.run(stubs.request(n), SHORT, answer) for n in range(20)
+    }
+    assert got == {"b"}
+
+
+async def test_an_intent_gets_its_share_of_the_requests(autojump_clock):
+    intents = (
+        model.Intent("ten", "", "version = 2", 10.0, priority=2),
+        model.Intent("half", "", "upstream = a", 50.0, priority=1),
+    )
+    steerer = stubs.make_steerer(
+        stubs.View([A, B], intents),
+        settings=steering.SteeringSettings(history=2_000),
+    )
+    for number in range(2_000):
+        await steerer.run(stubs.request(number), SHORT, answer)
+    taken = [steerer.explain(f"r{n}").intent for n in range(2_000)]
+    # Four standard deviations of a binomial distribution.
+    assert abs(taken.count("ten") - 200) < 54
+    assert abs(taken.count("half") - 900) < 89
+
+
+@pytest.mark.parametrize(
+    ("service", "not_run", "attempts", "succeeds"),
+    [
+        (SHORT, False, 2, True),
+        (BULK, False, 2, True),
+        (ONCE, False, 1, False),
+        (ONCE, True, 2, True),
+    ],
+)
+async def test_only_repeatable_work_is_retried_in_another_domain(
+    service, not_run, attempts, succeeds, autojump_clock
+):
+    same_domain = stubs.record("a2")
+    steerer = stubs.make_steerer(stubs.View([A, same_domain, B]))
+    attempt = failing("a", "a2", not_run=not_run)
+    if succeeds:
+        # A first choice of "b" shows nothing; ten requests include others.
+        for number in range(10):
+            got = await steerer.run(stubs.request(number), service, attempt)
+            assert got == "b"
+            decision = steerer.explain(f"r{number}")
+            assert len(decision.attempts) <= attempts
+    else:
+        error = await refusal(
+            stubs.make_steerer(stubs.View([A])), service, attempt
+        )
+        assert (error.code, error.not_run) == ("UPSTREAM_FAILED", False)
+
+
+async def test_retries_stay_within_their_budget(autojump_clock):
+    attempts = 0
+
+    async def broken(upstream):
+        nonlocal attempts
+        attempts += 1
+        raise ports.UpstreamError("UPSTREAM_BROKEN", "broken", not_run=False)
+
+    settings = steering.SteeringSettings()
+    steerer = stubs.make_steerer(stubs.View([A, B]), settings=settings)
+    for number in range(400):
+        await refusal(steerer, attempt=broken, request_id=f"r{number}")
+    extra = 400 * settings.retry_percent / 100 + settings.budget_burst
+    assert 400 < attempts <= 400 + extra
+
+
+async def test_a_slow_request_is_hedged_and_the_loser_cancelled(autojump_clock):
+    ended = []
+
+    async def straggling(upstream):
+        try:
+            slow = upstream.upstream == first[0] if first else False
+            await trio.sleep(5 if slow else 0.01)
+            ended.append(upstream.upstream)
+            return upstream.upstream
+        finally:
+            first.clear()
+
+    first = []
+    steerer = stubs.make_steerer(stubs.View([A, B]))
+    for number in range(40):
+        await steerer.run(stubs.request(number), SHORT, straggling)
+    first = ["a"]
+    steerer.view.objects = (model.Drain("d", "upstream = b"),)
+
+    async def hedge_possible_later():
+        await trio.sleep(0.005)
+        steerer.view.objects = ()
+
+    started = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(hedge_possible_later)
+        got = await steerer.run(stubs.request(99), SHORT, straggling)
+    assert got == "b"
+    assert trio.current_time() - started < 0.1
+    attempts = steerer.explain("r99").attempts
+    assert {(a.kind, a.outcome) for a in attempts} == {
+        ("first", "cancelled"),
+        ("hedge", "answered"),
+    }
+    assert steerer.in_flight() == {}
+
+
+async def test_a_deadline_tells_whether_the_request_may_have_run(
+    autojump_clock,
+):
+    async def endless(upstream):
+        await trio.sleep_forever()
+
+    one_slot = stubs.record("a", slots=1)
+    steerer = stubs.make_steerer(stubs.View([one_slot]))
+    errors = []
+
+    async def one(number):
+        errors.append(
+            await refusal(
+                steerer, ONCE, endless, request_id=f"r{number}", deadline_s=1.0
+            )
+        )
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(one, 0)
+        nursery.start_soon(one, 1)
+    assert {(e.code, e.not_run) for e in errors} == {
+        ("DEADLINE_EXCEEDED", False),
+        ("DEADLINE_EXCEEDED", True),
+    }
+    assert steerer.in_flight() == {}
+
+
+async def test_a_request_is_refused_early_when_the_queue_is_too_long(
+    autojump_clock,
+):
+    async def second(upstream):
+        await trio.sleep(1)
+
+    steerer = stubs.make_steerer(stubs.View([stubs.record("a", slots=1)]))
+    refused_at = []
+
+    async def one(number):
+        try:
+            await steerer.run(
+                stubs.request(number, deadline_s=5.0), BULK, second
+            )
+        except steering.SteeringError as error:
+            assert (error.code, error.not_run) == ("OVERLOADED", True)
+            refused_at.append(trio.current_time() - started)
+
+    started = trio.current_time()
+    await one(0)
+    started = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for number in range(1, 11):
+            nursery.start_soon(one, number)
+    # One runs, three wait, and the fifth would end at its deadline.
+    assert len(refused_at) == 6
+    assert max(refused_at) == 0
