--- /dev/null
+++ b/bench/steering_deployments.py
@@ -0,0 +1,88 @@
+"""The two deployments of the design page, with plausible service times.
+
+The page gives sizes and delays but no service times. Short reads are taken as
+lognormal with a median of 12 ms (status) or 8 ms (stock), where 0.5 % and
+0.3 % of the requests straggle at 15 and 20 times the usual time. Archive
+look-ups and catalogue pulls take seconds.
+"""
+
+import attrs
+
+from bench import steering_world
+from guavapulley import model
+
+SHORT = model.TrafficClass.SHORT
+ONCE = model.TrafficClass.ONCE
+BULK = model.TrafficClass.BULK
+
+GALVANOVNA = steering_world.Deployment(
+    "galvanovna",
+    ("pb", "za", "tn"),
+    0.001,
+    0.035,
+    11,
+    (
+        steering_world.ServiceSpec(
+            model.Service("line-status", SHORT),
+            12,
+            6,
+            steering_world.ServiceTimes(0.012, 0.5, 0.005, 15),
+        ),
+        steering_world.ServiceSpec(
+            model.Service("inspection-archive", BULK, deadline_ms=30_000),
+            12,
+            6,
+            steering_world.ServiceTimes(2.0, 0.6, 0.01, 5),
+        ),
+        steering_world.ServiceSpec(
+            model.Service("batch-release", ONCE),
+            12,
+            3,
+            steering_world.ServiceTimes(0.15, 0.4, 0.005, 10),
+        ),
+    ),
+)
+
+SIAM = steering_world.Deployment(
+    "siam",
+    ("bkk", "cnx", "hdy"),
+    0.0005,
+    0.020,
+    11,
+    (
+        steering_world.ServiceSpec(
+            model.Service("stock-price", SHORT),
+            16,
+            3,
+            steering_world.ServiceTimes(0.008, 0.5, 0.003, 20),
+        ),
+        steering_world.ServiceSpec(
+            model.Service("catalogue-sync", BULK, deadline_ms=120_000),
+            12,
+            3,
+            steering_world.ServiceTimes(4.0, 0.5, 0.01, 4),
+        ),
+        steering_world.ServiceSpec(
+            model.Service("order-booking", ONCE),
+            12,
+            3,
+            steering_world.ServiceTimes(0.12, 0.4, 0.005, 10),
+        ),
+    ),
+)
+
+
+def with_entries(
+    deployment: steering_world.Deployment, entries: int
+) -> steering_world.Deployment:
+    """Returns a deployment with another number of entries."""
+    return attrs.evolve(deployment, entries=entries)
+
+
+def rate_for(
+    deployment: steering_world.Deployment, service: str, utilisation: float
+) -> float:
+    """Returns the requests per second that use a part of all slots."""
+    spec = next(s for s in deployment.services if s.service.name == service)
+    slots = spec.upstreams * spec.slots
+    return utilisation * slots / spec.times.mean_s()
--- a/tests/steering/test_steerer.py
+++ b/tests/steering/test_steerer.py
@@ -2,12 +2,12 @@
 
 import attrs
 import pytest
-from tests.steering import stubs
 import trio
 
 from guavapulley import model
 from guavapulley import ports
 from guavapulley import steering
+from tests.steering import stubs
 
 SHORT = model.Service("s", model.TrafficClass.SHORT, deadline_ms=2_000)
 ONCE = attrs.evolve(SHORT, traffic_class=model.TrafficClass.ONCE)
