Add the request path of an entry: classes, at most once, lookup, front end

Cause: entries could receive HTTP requests but not answer them.

Change: serving admits requests by the state of the configuration, labels them and dispatches them by class. A request with an idempotency key is claimed on a majority before it is sent; the claim has an ID of its own, because two requests with equal IDs at one entry would otherwise both be granted the claim. It is released only when no byte was sent. Also the configuration follower, lookups, presence, shutdown and the HTTP front end.

Conclusion: the flow is ready to be joined to steering and membership.

--- a/src/guavapulley/adapters/http/__init__.py
+++ b/src/guavapulley/adapters/http/__init__.py
@@ -1,5 +1,7 @@
 """HTTP by cheroot and urllib3."""
 
+from guavapulley.adapters.http._entry_frontend import EntryFrontend
+from guavapulley.adapters.http._entry_frontend import EntryServices
 from guavapulley.adapters.http._errors import BAD_REQUEST
 from guavapulley.adapters.http._errors import INTERNAL_ERROR
 from guavapulley.adapters.http._errors import METHOD_NOT_ALLOWED
@@ -11,6 +13,9 @@
 from guavapulley.adapters.http._errors import json_answer
 from guavapulley.adapters.http._errors import send_answer
 from guavapulley.adapters.http._limits import HttpLimits
+from guavapulley.adapters.http._routes import Call
+from guavapulley.adapters.http._routes import Route
+from guavapulley.adapters.http._routes import Router
 from guavapulley.adapters.http._server import HttpServer
 from guavapulley.adapters.http._server import ListenError
 from guavapulley.adapters.http._server import serve_http
@@ -23,10 +28,15 @@
     "NOT_AUTHORIZED",
     "NOT_FOUND",
     "STATUS_BY_CODE",
+    "Call",
+    "EntryFrontend",
+    "EntryServices",
     "HttpError",
     "HttpLimits",
     "HttpServer",
     "ListenError",
+    "Route",
+    "Router",
     "UrllibUpstreamClient",
     "error_answer",
     "json_answer",
--- a/src/guavapulley/adapters/http/_errors.py
+++ b/src/guavapulley/adapters/http/_errors.py
@@ -56,6 +56,8 @@
     {
         "SERVICE_UNKNOWN": 404,
         "OUTCOME_NOT_FOUND": 404,
+        "UPSTREAM_UNKNOWN": 404,
+        "UPSTREAM_SUPERSEDED": 409,
         "UPSTREAM_INVALID": 400,
         "LABELS_INVALID": 400,
         "KEY_AGE_UNKNOWN": 400,
@@ -65,7 +67,8 @@
         "OUTCOME_UNKNOWN": 409,
         "KEY_EXPIRED": 410,
         "KEY_REUSED": 422,
-        "QUEUE_FULL": 429,
+        "REQUEST_TOO_LARGE": 413,
+        "OUTCOME_NOT_KEPT": 409,
         "DEADLINE_EXCEEDED": 504,
     }
 )
--- a/src/guavapulley/adapters/http/_gateway.py
+++ b/src/guavapulley/adapters/http/_gateway.py
@@ -3,6 +3,7 @@
 import errno
 import http
 from typing import Any
+from urllib import parse
 
 from cheroot import errors as cheroot_errors
 from cheroot import server
@@ -118,7 +119,9 @@
             self.req.simple_response(status, "the body was not accepted")
             return None
         req = self.req
-        raw_path = req.uri.partition(b"?")[0].decode("latin-1")
+        raw_path = req.uri.partition(b"?")[0]
+        if not raw_path.startswith(b"/"):
+            raw_path = parse.urlsplit(raw_path).path
         pairs = req.inheaders[req.header_reader.PAIRS]
         return model.HttpRequest(
             req.method.decode("ascii", "replace"),
@@ -127,7 +130,7 @@
             tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in pairs),
             body,
             req.conn.remote_addr or "",
-            raw_path,
+            raw_path.decode("latin-1"),
         )
 
     def _body(self) -> bytes:
--- a/src/guavapulley/serving/__init__.py
+++ b/src/guavapulley/serving/__init__.py
@@ -1,1 +1,65 @@
 """Request handling in an entry."""
+
+from guavapulley.serving._attempts import Dispatcher
+from guavapulley.serving._errors import DEADLINE_EXCEEDED
+from guavapulley.serving._errors import KEY_EXPIRED
+from guavapulley.serving._errors import KEY_REUSED
+from guavapulley.serving._errors import OUTCOME_UNKNOWN
+from guavapulley.serving._errors import ServingError
+from guavapulley.serving._follower import CONFIGURATION_LEASE_S
+from guavapulley.serving._follower import ConfigurationFollower
+from guavapulley.serving._follower import ConfigurationSource
+from guavapulley.serving._follower import FollowerState
+from guavapulley.serving._keys import KEY_RETENTION_S
+from guavapulley.serving._keys import request_hash
+from guavapulley.serving._labels import CallerRegions
+from guavapulley.serving._labels import parse_labels
+from guavapulley.serving._lookup import LOOKUP_LIFETIME_S
+from guavapulley.serving._lookup import Lookup
+from guavapulley.serving._lookup import LookupAnswer
+from guavapulley.serving._once import RECORD_BEFORE_REPLY_S
+from guavapulley.serving._once import OnceFlow
+from guavapulley.serving._presence import mirror_state
+from guavapulley.serving._protocols import Links
+from guavapulley.serving._protocols import Member
+from guavapulley.serving._protocols import Steerer
+from guavapulley.serving._protocols import StoppableServer
+from guavapulley.serving._protocols import UnixClock
+from guavapulley.serving._protocols import UpstreamRegistry
+from guavapulley.serving._requests import RequestService
+from guavapulley.serving._shutdown import shut_down
+from guavapulley.serving._view import EntryView
+from guavapulley.serving._view import Membership
+
+__all__ = [
+    "CONFIGURATION_LEASE_S",
+    "DEADLINE_EXCEEDED",
+    "KEY_EXPIRED",
+    "KEY_RETENTION_S",
+    "KEY_REUSED",
+    "LOOKUP_LIFETIME_S",
+    "OUTCOME_UNKNOWN",
+    "RECORD_BEFORE_REPLY_S",
+    "CallerRegions",
+    "ConfigurationFollower",
+    "ConfigurationSource",
+    "Dispatcher",
+    "EntryView",
+    "FollowerState",
+    "Links",
+    "Lookup",
+    "LookupAnswer",
+    "Member",
+    "Membership",
+    "OnceFlow",
+    "RequestService",
+    "ServingError",
+    "Steerer",
+    "StoppableServer",
+    "UnixClock",
+    "UpstreamRegistry",
+    "mirror_state",
+    "parse_labels",
+    "request_hash",
+    "shut_down",
+]
--- /dev/null
+++ b/src/guavapulley/serving/_labels.py
@@ -0,0 +1,70 @@
+"""Labels of requests."""
+
+from guavapulley import lookup
+from guavapulley import model
+from guavapulley.serving import _errors
+
+
+def parse_labels(text: str) -> dict[str, str]:
+    """Parses the header `Guavapulley-Labels`.
+
+    >>> parse_labels("shop = 12, tier=gold")
+    {'shop': '12', 'tier': 'gold'}
+
+    Raises:
+        ServingError: The text is malformed or has too many labels.
+    """
+    items = [item.strip() for item in text.split(",") if item.strip()]
+    pairs = [item.partition("=") for item in items]
+    labels = {key.strip(): value.strip() for key, _, value in pairs}
+    sizes = (len(part) for pair in labels.items() for part in pair)
+    if (
+        len(items) > model.MAX_LABELS
+        or not all(key and equals for key, equals, _ in pairs)
+        or max(sizes, default=0) > model.MAX_LABEL_CHARS
+    ):
+        raise _errors.ServingError(
+            _errors.LABELS_INVALID,
+            f"labels have the form `key=value, ...`, at most"
+            f" {model.MAX_LABELS} of {model.MAX_LABEL_CHARS} characters",
+            not_run=True,
+        )
+    return labels
+
+
+def automatic_labels(
+    request: model.SteeredRequest, service: model.Service, region: str
+) -> dict[str, str]:
+    """Returns the labels that callers cannot set themselves."""
+    return {
+        "service": service.name,
+        "method": request.method,
+        "class": service.traffic_class.value,
+        "region": region,
+    }
+
+
+class CallerRegions:
+    """Finds the region of a caller by the configured client blocks.
+
+    Args:
+        default: Region of callers in no block; the one of the entry.
+    """
+
+    def __init__(self, default: str) -> None:
+        self.default = default
+        self.revision = -1
+        self.blocks = lookup.ClientBlockTable()
+
+    def find(self, host: str, configuration: model.Configuration) -> str:
+        """Returns the region of a caller's address."""
+        if configuration.revision != self.revision:
+            objects = configuration.objects
+            self.blocks = lookup.ClientBlockTable.from_blocks(
+                o for o in objects if isinstance(o, model.ClientBlock)
+            )
+            self.revision = configuration.revision
+        try:
+            return self.blocks.find(host) or self.default
+        except ValueError:
+            return self.default
--- /dev/null
+++ b/src/guavapulley/serving/_presence.py
@@ -0,0 +1,31 @@
+"""Tells the other entries the state of this one."""
+
+import trio
+
+from guavapulley import model
+from guavapulley.serving import _follower
+from guavapulley.serving import _protocols
+
+# Several times within a round of gossip.
+PRESENCE_INTERVAL_S = 0.1
+
+_STATES = {
+    _follower.FollowerState.UNCONFIRMED: model.EntryState.STARTING,
+    _follower.FollowerState.CONFIRMED: model.EntryState.ALIVE,
+    _follower.FollowerState.DETACHED: model.EntryState.DETACHED,
+}
+
+
+async def mirror_state(
+    follower: _follower.ConfigurationFollower,
+    steerer: _protocols.Steerer,
+    member: _protocols.Member,
+) -> None:
+    """Copies state, revision and counts to the gossiped record.
+
+    It is cancelled when the entry begins to leave.
+    """
+    while True:
+        member.set_state(_STATES[follower.state()])
+        member.set_status(follower.configuration.revision, steerer.in_flight())
+        await trio.sleep(PRESENCE_INTERVAL_S)
