--- a/src/guavapulley/serving/_requests.py
+++ b/src/guavapulley/serving/_requests.py
@@ -1,7 +1,5 @@
 """Handles the requests of callers, one task for each."""
 
-from collections.abc import Iterator
-import contextlib
 import functools
 
 import attrs
@@ -69,9 +67,9 @@
         try:
             service = self._admit(request)
             labelled = self._label(request, service, caller_host)
-            with _own_errors(request):
-                await self._serve(labelled, service, reply)
+            await self._serve(labelled, service, reply)
         except errors.GuavapulleyError as error:
+            error.details.setdefault("request_id", request.request_id)
             self.metrics.increment(f"requests.refused.{error.code}")
             raise
         finally:
@@ -153,15 +151,6 @@
         )
 
 
-@contextlib.contextmanager
-def _own_errors(request: model.SteeredRequest) -> Iterator[None]:
-    try:
-        yield
-    except errors.GuavapulleyError as error:
-        error.details.setdefault("request_id", request.request_id)
-        raise
-
-
 def _refusal(code: str, message: str) -> _errors.ServingError:
     return _errors.ServingError(code, message, not_run=True)
 
--- /dev/null
+++ b/tests/serving/test_lookup.py
@@ -0,0 +1,58 @@
+"""Guards against callers sent to entries that do not take work."""
+
+import collections
+
+import pytest
+
+from guavapulley import model
+from guavapulley import serving
+
+STATE = model.EntryState
+
+
+def entry(name, region="pb", state=STATE.ALIVE):
+    address = model.NodeAddress("127.0.0.1", 1)
+    return model.EntryRecord(
+        name, region, f"{region}-1", address, address, 1, 1, state
+    )
+
+
+class View:
+    def __init__(self, *entries):
+        self.entries = entries
+
+    def live_entries(self):
+        return self.entries
+
+
+def names(view, caller="10.0.0.1", region="pb"):
+    answer = serving.Lookup(view).find("s", region, caller)
+    return [found.name for found in answer.entries]
+
+
+@pytest.mark.parametrize(
+    ("entries", "expected"),
+    [
+        ([entry("a", "za"), entry("b", "pb")], ["b", "a"]),
+        ([entry("a", state=STATE.LEAVING), entry("b")], ["b"]),
+        ([entry("a", state=STATE.STARTING), entry("b")], ["b"]),
+        (
+            [entry("a", state=STATE.DETACHED), entry("b", "za")],
+            ["b", "a"],
+        ),
+        ([], []),
+    ],
+)
+def test_order_of_entries(entries, expected):
+    assert names(View(*entries)) == expected
+
+
+def test_callers_spread_and_keep_their_entry():
+    entries = [entry(f"e{number}") for number in range(4)]
+    callers = [f"10.0.{n // 250}.{n % 250}" for n in range(1_000)]
+    first = {c: names(View(*entries), c)[0] for c in callers}
+    counts = collections.Counter(first.values())
+    assert min(counts.values()) > 150
+    left = View(*entries[1:])
+    moved = [c for c in callers if names(left, c)[0] != first[c]]
+    assert all(first[c] == "e0" for c in moved)
