--- a/src/guavapulley/adapters/http/__init__.py
+++ b/src/guavapulley/adapters/http/__init__.py
@@ -1,5 +1,7 @@
 """HTTP by cheroot and urllib3."""
 
+from guavapulley.adapters.http._entry_api import ApiError
+from guavapulley.adapters.http._entry_api import EntryApi
 from guavapulley.adapters.http._entry_frontend import EntryFrontend
 from guavapulley.adapters.http._entry_frontend import EntryServices
 from guavapulley.adapters.http._errors import BAD_REQUEST
@@ -28,7 +30,9 @@
     "NOT_AUTHORIZED",
     "NOT_FOUND",
     "STATUS_BY_CODE",
+    "ApiError",
     "Call",
+    "EntryApi",
     "EntryFrontend",
     "EntryServices",
     "HttpError",
--- a/src/guavapulley/adapters/http/_entry_frontend.py
+++ b/src/guavapulley/adapters/http/_entry_frontend.py
@@ -53,24 +53,30 @@
 
     Args:
         services: What the front end calls.
-        token: Bearer token of upstreams and operators; None needs none.
+        upstream_token: Bearer token of upstreams; empty needs none.
+        operator_token: Bearer token of operators; empty needs none.
     """
 
-    def __init__(self, services: EntryServices, token: str | None) -> None:
+    def __init__(
+        self,
+        services: EntryServices,
+        upstream_token: str = "",
+        operator_token: str = "",
+    ) -> None:
         self.services = services
         route = _routes.Route
+        upstream = "/v1/upstreams/{}"
         self.router = _routes.Router(
             [
                 route("*", "/s/{}/{*}", self._steer),
                 route("GET", "/v1/lookup", self._look_up),
                 route("GET", "/v1/outcomes/{}/{}", self._outcome),
-                route("POST", "/v1/upstreams/{}", self._announce, True),
-                route("PUT", "/v1/upstreams/{}", self._renew, True),
-                route("DELETE", "/v1/upstreams/{}", self._leave, True),
-                route("GET", "/v1/status", self._status, True),
-                route("GET", "/v1/explain/{}", self._explain, True),
-            ],
-            token,
+                route("POST", upstream, self._announce, upstream_token),
+                route("PUT", upstream, self._renew, upstream_token),
+                route("DELETE", upstream, self._leave, upstream_token),
+                route("GET", "/v1/status", self._status, operator_token),
+                route("GET", "/v1/explain/{}", self._explain, operator_token),
+            ]
         )
 
     async def handle(
--- a/src/guavapulley/adapters/http/_routes.py
+++ b/src/guavapulley/adapters/http/_routes.py
@@ -42,13 +42,13 @@
         pattern: Path; `{}` stands for one variable segment, and a last `{*}`
             for the rest of the path.
         action: Answers the request.
-        protected: Whether the bearer token is needed.
+        token: Bearer token that is needed; None or empty needs none.
     """
 
     method: str
     pattern: str
     action: Action
-    protected: bool = False
+    token: str | None = None
 
     def match(self, raw_path: str) -> tuple[str, ...] | None:
         """Returns the variable segments of a path, or None.
@@ -77,12 +77,10 @@
 
     Args:
         routes: Routes, tried in order.
-        token: Bearer token of the protected routes; None leaves them open.
     """
 
-    def __init__(self, routes: Iterable[Route], token: str | None) -> None:
+    def __init__(self, routes: Iterable[Route]) -> None:
         self.routes = list(routes)
-        self.token = token
 
     async def handle(
         self, request: model.HttpRequest, reply: ports.ReplyWriter
@@ -100,7 +98,7 @@
             )
         for route, segments in found:
             if _takes(route.method, request.method):
-                self._authorize(route, request)
+                _authorize(route, request)
                 await route.action(Call(request, segments), reply)
                 return
         raise _errors.HttpError(
@@ -109,15 +107,16 @@
             allowed=sorted(route.method for route, _ in found),
         )
 
-    def _authorize(self, route: Route, request: model.HttpRequest) -> None:
-        if not route.protected or self.token is None:
-            return
-        given = request.header("Authorization") or ""
-        wanted = f"Bearer {self.token}"
-        if not hmac.compare_digest(given.encode(), wanted.encode()):
-            raise _errors.HttpError(
-                _errors.NOT_AUTHORIZED, "the bearer token is missing or wrong"
-            )
+
+def _authorize(route: Route, request: model.HttpRequest) -> None:
+    if not route.token:
+        return
+    given = request.header("Authorization") or ""
+    wanted = f"Bearer {route.token}"
+    if not hmac.compare_digest(given.encode(), wanted.encode()):
+        raise _errors.HttpError(
+            _errors.NOT_AUTHORIZED, "the bearer token is missing or wrong"
+        )
 
 
 def _takes(wanted: str, given: str) -> bool:
--- a/src/guavapulley/serving/__init__.py
+++ b/src/guavapulley/serving/__init__.py
@@ -1,6 +1,7 @@
 """Request handling in an entry."""
 
 from guavapulley.serving._attempts import Dispatcher
+from guavapulley.serving._control_client import ControlClient
 from guavapulley.serving._errors import DEADLINE_EXCEEDED
 from guavapulley.serving._errors import KEY_EXPIRED
 from guavapulley.serving._errors import KEY_REUSED
@@ -14,6 +15,8 @@
 from guavapulley.serving._keys import request_hash
 from guavapulley.serving._labels import CallerRegions
 from guavapulley.serving._labels import parse_labels
+from guavapulley.serving._leases import LeasedLinks
+from guavapulley.serving._leases import renew_leases
 from guavapulley.serving._lookup import LOOKUP_LIFETIME_S
 from guavapulley.serving._lookup import Lookup
 from guavapulley.serving._lookup import LookupAnswer
@@ -43,9 +46,11 @@
     "CallerRegions",
     "ConfigurationFollower",
     "ConfigurationSource",
+    "ControlClient",
     "Dispatcher",
     "EntryView",
     "FollowerState",
+    "LeasedLinks",
     "Links",
     "Lookup",
     "LookupAnswer",
@@ -60,6 +65,7 @@
     "UpstreamRegistry",
     "mirror_state",
     "parse_labels",
+    "renew_leases",
     "request_hash",
     "shut_down",
 ]
--- /dev/null
+++ b/tests/serving/test_control_client.py
@@ -0,0 +1,87 @@
+"""Guards against calls that end at a replica that is not the leader."""
+
+import pytest
+import trio
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley import serving
+
+ADDRESSES = [model.NodeAddress("127.0.0.1", port) for port in (1, 2, 3)]
+
+
+class Network:
+    """Three replicas of which one leads; any can be silent."""
+
+    def __init__(self):
+        self.leader = ADDRESSES[2]
+        self.named = dict.fromkeys(ADDRESSES, ADDRESSES[2])
+        self.silent = set()
+        self.calls = []
+
+    def dial(self, address):
+        return Client(self, address)
+
+
+class Client:
+    def __init__(self, network, address):
+        self.network = network
+        self.address = address
+
+    async def call(self, request, timeout_s):
+        self.network.calls.append(self.address)
+        if self.address in self.network.silent:
+            await trio.sleep(timeout_s)
+            raise ports.PeerError(ports.CALL_TIMEOUT, "silent")
+        await trio.sleep(0.01)
+        if self.address != self.network.leader:
+            raise ports.PeerRefusedError(
+                "NOT_LEADER", "no", leader=str(self.network.named[self.address])
+            )
+        return model.RecordReply(True)
+
+
+REQUEST = model.ReleaseClaim("k", "r")
+
+
+async def test_leader_is_found_and_kept(autojump_clock):
+    network = Network()
+    client = serving.ControlClient(network, ADDRESSES)
+    assert (await client.release(REQUEST, 5)).recorded
+    await client.release(REQUEST, 5)
+    assert network.calls.count(ADDRESSES[2]) == 2
+    assert len(network.calls) <= 3
+
+
+async def test_failed_leader_is_replaced(autojump_clock):
+    network = Network()
+    client = serving.ControlClient(network, ADDRESSES)
+    await client.release(REQUEST, 5)
+    network.silent = {ADDRESSES[2]}
+    network.leader = ADDRESSES[0]
+    network.named[ADDRESSES[1]] = ADDRESSES[0]
+    assert (await client.release(REQUEST, 5)).recorded
+
+
+async def test_replicas_that_name_each_other_are_called_with_pauses(
+    autojump_clock,
+):
+    network = Network()
+    network.leader = None
+    network.named = dict(
+        zip(ADDRESSES, [*ADDRESSES[1:], ADDRESSES[0]], strict=True)
+    )
+    client = serving.ControlClient(network, ADDRESSES)
+    started_at_s = trio.current_time()
+    with pytest.raises(ports.PeerError):
+        await client.release(REQUEST, 2)
+    assert trio.current_time() - started_at_s <= 2
+    assert len(network.calls) < 50
+
+
+async def test_reply_of_another_kind_is_an_error(autojump_clock):
+    network = Network()
+    client = serving.ControlClient(network, ADDRESSES)
+    with pytest.raises(ports.PeerError) as raised:
+        await client.lease(model.LeaseShare("e", ()), 5)
+    assert raised.value.code == "CONTROL_INVALID_REPLY"
