Add settings, steering files, event log and metrics

Cause: every process needs settings that are refused with a clear place and reason, a log that can be merged with those of other processes, and metrics. Change: adapters.settings parses process settings by role and steering files to and from configuration objects, with errors that carry file, section, key, problem and what is allowed. Token files must not be accessible by group or others. adapters.logs writes eliot JSON lines with node, role, Lamport clock and sequence, without secrets, and survives a full disk. adapters.metrics sends statsd datagrams. Hypothesis finds no text that raises anything but SettingsError, and rendered steering files are read back equal. Conclusion: addresses are IPv4 numbers only, because NodeAddress renders no brackets.

--- /dev/null
+++ b/src/guavapulley/adapters/logs/_log.py
@@ -0,0 +1,189 @@
+"""Events as eliot JSON lines."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import errno
+import math
+import pathlib
+import re
+import threading
+from typing import Any
+
+import eliot
+
+from guavapulley import errors
+from guavapulley.adapters import nng
+
+LOG_UNWRITABLE = errors.register_code(
+    "LOG_UNWRITABLE", "The log file of a process could not be opened."
+)
+REDACTED = "[redacted]"
+MAX_TEXT_CHARS = 4_096
+MAX_DEPTH = 4
+_SECRET_FIELD = re.compile(
+    r"token|secret|password|authorization|cookie|cluster_key", re.IGNORECASE
+)
+# Fields that eliot or this log sets itself.
+_RESERVED = frozenset(
+    {
+        "action_status",
+        "action_type",
+        "clock",
+        "message_type",
+        "node",
+        "role",
+        "self",
+        "sequence",
+        "task_level",
+        "task_uuid",
+        "timestamp",
+    }
+)
+
+
+class LogError(errors.GuavapulleyError):
+    """The log file cannot be used."""
+
+
+class _LineFile:
+    """File that takes whole lines, unbuffered.
+
+    A short write, as on a full disk, leaves a part of a line behind; the next
+    line then starts with a line break, so that only one line is damaged.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.file = path.open("ab", buffering=0)
+        self.torn = False
+
+    def write(self, line: bytes) -> None:
+        """Writes a line; raises OSError when it is not written whole."""
+        data = b"\n" + line if self.torn else line
+        written = self.file.write(data)
+        self.torn = written != len(data)
+        if self.torn:
+            raise OSError(errno.ENOSPC, "short write")
+
+    def flush(self) -> None:
+        """Does nothing, because nothing is buffered."""
+
+
+class _LineLogger:
+    """Logger for eliot that writes to one file instead of global ones.
+
+    A line that cannot be written is counted; the next line that can be has
+    the count in its field `lines_lost_before`.
+    """
+
+    def __init__(self, file: _LineFile) -> None:
+        self.destination = eliot.FileDestination(file=file)
+        self.lost_lines = 0
+
+    def write(self, message: dict[str, Any], serializer: object = None) -> None:
+        """Writes a message of eliot."""
+        if self.lost_lines:
+            message["lines_lost_before"] = self.lost_lines
+        try:
+            self.destination(message)
+            self.lost_lines = 0
+        except (OSError, ValueError):  # disk full, or file closed
+            self.lost_lines += 1
+
+
+class EliotEventLog:
+    """Appends events to a log file; each is one line of JSON.
+
+    Every line has `node`, `role`, `clock` (Lamport counter) and `sequence`
+    (the number of the event in its process). A line that cannot be written,
+    for example on a full disk, is counted and does not disturb the process.
+
+    Args:
+        path: Log file; missing folders are created.
+        node: Name of the VM.
+        role: Role of the process.
+        clock: Lamport clock of the process.
+        secrets: Texts that are replaced wherever they occur.
+
+    Raises:
+        LogError: The file cannot be opened.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        node: str,
+        role: str,
+        clock: nng.LamportClock,
+        secrets: Iterable[str] = (),
+    ) -> None:
+        self.common = {"node": node, "role": role}
+        self.clock = clock
+        self.secrets = tuple(text for text in secrets if text)
+        self.sequence = 0
+        self.lock = threading.Lock()
+        try:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            self.file = _LineFile(path)
+        except OSError as error:
+            raise LogError(
+                LOG_UNWRITABLE, f"{path} cannot be opened: {error.strerror}"
+            ) from error
+        self.task = eliot.start_task(
+            _LineLogger(self.file), "process:run", **self._numbered({})
+        )
+
+    def write(self, event: str, **fields: object) -> None:
+        """Writes an event.
+
+        Args:
+            event: Name of the event.
+            **fields: JSON-compatible values; others are written as text. A
+                field whose name tells of a secret is written as `REDACTED`.
+        """
+        # Worker threads of the HTTP server write events too.
+        with self.lock:
+            self.task.log(event, **self._numbered(fields))
+
+    def close(self) -> None:
+        """Closes the log file."""
+        self.file.file.close()
+
+    def _numbered(self, fields: Mapping[str, object]) -> dict[str, Any]:
+        self.sequence += 1
+        named = {
+            f"{name}_" if name in _RESERVED else name: value
+            for name, value in fields.items()
+        }
+        return {
+            **self._mapping(named, 0),
+            **self.common,
+            "clock": self.clock.tick(),
+            "sequence": self.sequence,
+        }
+
+    def _mapping(
+        self, fields: Mapping[Any, object], depth: int
+    ) -> dict[str, Any]:
+        return {
+            str(name): REDACTED
+            if _SECRET_FIELD.search(str(name))
+            else self._plain(value, depth)
+            for name, value in fields.items()
+        }
+
+    def _plain(self, value: object, depth: int) -> Any:
+        """Returns a JSON-compatible value without secrets."""
+        if value is None or isinstance(value, bool):
+            return value
+        if isinstance(value, int) and abs(value) < 2**63:
+            return int(value)
+        if isinstance(value, float) and math.isfinite(value):
+            return float(value)
+        if depth < MAX_DEPTH and isinstance(value, Mapping):
+            return self._mapping(value, depth + 1)
+        if depth < MAX_DEPTH and isinstance(value, list | tuple | set):
+            return [self._plain(item, depth + 1) for item in value]
+        text = str(value).encode("utf-8", "replace").decode()
+        for secret in self.secrets:
+            text = text.replace(secret, REDACTED)
+        return text[:MAX_TEXT_CHARS]
--- /dev/null
+++ b/src/guavapulley/adapters/metrics/_statsd.py
@@ -0,0 +1,45 @@
+"""Metrics over UDP in the statsd format."""
+
+import re
+
+import statsd
+
+from guavapulley import model
+
+_SEPARATORS = re.compile(r"[^A-Za-z0-9_-]")
+
+
+class StatsdMetrics:
+    """Sends counters, gauges and timers as statsd datagrams.
+
+    A datagram that cannot be sent is dropped, so metrics never hold up work.
+
+    Args:
+        address: Where a statsd server listens.
+        node: Name of the VM, part of every metric name.
+        role: Role of the process, part of every metric name.
+    """
+
+    def __init__(self, address: model.NodeAddress, node: str, role: str):
+        place = _SEPARATORS.sub("_", node)
+        self.client = statsd.StatsClient(
+            host=address.host,
+            port=address.port,
+            prefix=f"guavapulley.{role}.{place}",
+        )
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Raises a counter."""
+        self.client.incr(name, count)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Sets a gauge."""
+        self.client.gauge(name, value)
+
+    def timing(self, name: str, milliseconds: float) -> None:
+        """Records a duration in milliseconds."""
+        self.client.timing(name, milliseconds)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.client.close()
--- /dev/null
+++ b/src/guavapulley/adapters/settings/_values.py
@@ -0,0 +1,177 @@
+"""Parsers of single values; the errors get their place from the caller."""
+
+from collections.abc import Callable
+import ipaddress
+import math
+import re
+
+from guavapulley import model
+from guavapulley.adapters.settings import _errors
+from guavapulley.adapters.settings import _ini
+
+MAX_NAME_CHARS = 128
+# The largest integer that JSON readers keep exact.
+MAX_INTEGER = 2**53
+MAX_PORT = 65_535
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]*\Z")
+_INTEGER = re.compile(r"[0-9]{1,16}\Z")
+_SIGNED = re.compile(r"-?[0-9]{1,16}\Z")
+_NUMBER = re.compile(r"[0-9]{1,16}(\.[0-9]{1,32})?([eE][+-]?[0-9]{1,3})?\Z")
+
+
+def invalid(problem: str, allowed: str) -> _errors.SettingsError:
+    """Returns an error for a value, still without its place."""
+    return _errors.SettingsError(
+        _errors.SETTINGS_VALUE_INVALID, problem, allowed=allowed
+    )
+
+
+def parse_name(text: str) -> str:
+    """Parses the name of a node, region, service or object."""
+    if len(text) > MAX_NAME_CHARS or not _NAME.match(text):
+        raise invalid(
+            f"{_ini.quoted(text)} is no name",
+            f"1 to {MAX_NAME_CHARS} of A-Z a-z 0-9 . _ / -, the first one a"
+            " letter or digit",
+        )
+    return text
+
+
+def integer_parser(low: int, high: int = MAX_INTEGER) -> Callable[[str], int]:
+    """Returns a parser of whole numbers from `low` to `high`."""
+
+    def parse(text: str) -> int:
+        if not _SIGNED.match(text) or not low <= int(text) <= high:
+            raise invalid(
+                f"{_ini.quoted(text)} is out of range",
+                f"a whole number from {low} to {high}",
+            )
+        return int(text)
+
+    return parse
+
+
+def parse_percent(text: str) -> float:
+    """Parses a percentage; a percent sign may follow.
+
+    >>> parse_percent("12.5 %")
+    12.5
+    """
+    digits = text.removesuffix("%").rstrip()
+    if not _NUMBER.match(digits) or not 0 <= float(digits) <= 100:
+        raise invalid(
+            f"{_ini.quoted(text)} is no percentage", "a number from 0 to 100"
+        )
+    return float(digits)
+
+
+def parse_positive(text: str) -> float:
+    """Parses a number greater than zero."""
+    if _NUMBER.match(text):
+        number = float(text)
+        if 0 < number <= MAX_INTEGER and math.isfinite(number):
+            return number
+    raise invalid(
+        f"{_ini.quoted(text)} is out of range",
+        f"a number above 0 and up to {MAX_INTEGER}",
+    )
+
+
+def render_number(number: float) -> str:
+    """Renders a number so that it is parsed back exactly.
+
+    >>> render_number(30.0), render_number(12.5)
+    ('30', '12.5')
+    """
+    return str(int(number)) if float(number).is_integer() else repr(number)
+
+
+def parse_address(text: str) -> model.NodeAddress:
+    """Parses an IPv4 address and TCP port.
+
+    >>> parse_address("127.0.0.1:8080")
+    NodeAddress(host='127.0.0.1', port=8080)
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        number = ipaddress.IPv4Address(host)
+        if not _INTEGER.match(port) or not 0 < int(port) <= MAX_PORT:
+            raise ValueError(port)
+    except ValueError as error:
+        raise invalid(
+            f"{_ini.quoted(text)} is no address",
+            "an IPv4 number and a port, such as 10.0.0.1:8080",
+        ) from error
+    return model.NodeAddress(str(number), int(port))
+
+
+def parse_addresses(text: str) -> tuple[model.NodeAddress, ...]:
+    """Parses addresses that are separated by commas."""
+    parts = (part.strip() for part in text.split(","))
+    found = tuple(parse_address(part) for part in parts if part)
+    if len(set(found)) != len(found):
+        raise invalid("an address is given twice", "each address once")
+    return found
+
+
+def parse_labels(text: str) -> dict[str, str]:
+    """Parses `key = value` pairs separated by commas.
+
+    >>> parse_labels("rack = 7, canary =")
+    {'rack': '7', 'canary': ''}
+    """
+    labels: dict[str, str] = {}
+    for part in text.split(","):
+        key, equals, value = (piece.strip() for piece in part.partition("="))
+        if not equals or key in labels:
+            raise invalid(
+                f"{_ini.quoted(part.strip())} is no label or a repeated one",
+                "`key = value` pairs separated by commas, each key once; an"
+                " empty value removes the label",
+            )
+        labels[parse_name(key)] = parse_name(value) if value else ""
+    if len(labels) > model.MAX_LABELS:
+        raise invalid("too many labels", f"at most {model.MAX_LABELS}")
+    return labels
+
+
+def render_labels(labels: model.Labels) -> str:
+    """Renders labels for `parse_labels`."""
+    pairs = (f"{key} = {labels[key]}".rstrip() for key in sorted(labels))
+    return ", ".join(pairs)
+
+
+def parse_block(text: str) -> str:
+    """Parses a block of caller addresses in CIDR notation."""
+    try:
+        return str(ipaddress.ip_network(text))
+    except ValueError as error:
+        raise invalid(
+            f"{_ini.quoted(text)} is no block",
+            "CIDR notation without host bits, such as 10.1.0.0/16",
+        ) from error
+
+
+def parse_link(text: str) -> str:
+    """Parses two regions and returns them in alphabetic order.
+
+    >>> parse_link("za pb")
+    'pb za'
+    """
+    regions = sorted({parse_name(part) for part in text.split()})
+    if len(regions) != 2 or len(text.split()) != 2:
+        raise invalid(
+            f"{_ini.quoted(text)} is no pair of regions",
+            "two different regions separated by a blank",
+        )
+    return " ".join(regions)
+
+
+def parse_selector(text: str) -> str:
+    """Checks a selector; the whitespace in it is already collapsed."""
+    if not text.isprintable():
+        raise invalid(
+            f"{_ini.quoted(text)} has control characters", "printable text"
+        )
+    return text
--- /dev/null
+++ b/tests/adapters/logs/test_log.py
@@ -0,0 +1,93 @@
+"""Guards against events that cannot be ordered or that give secrets away."""
+
+import json
+import pathlib
+
+import pytest
+
+from guavapulley.adapters import logs
+from guavapulley.adapters import nng
+
+TOKEN = "0123456789abcdef"
+
+
+@pytest.fixture
+def log(tmp_path):
+    opened = logs.EliotEventLog(
+        tmp_path / "log" / "entry.log",
+        "pb-1",
+        "entry",
+        nng.LamportClock(),
+        (TOKEN,),
+    )
+    yield opened
+    opened.close()
+
+
+def read(log):
+    path = pathlib.Path(log.file.file.name)
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def test_events_carry_node_clock_and_sequence(log):
+    log.write("request:admitted", request_id="r1")
+    log.clock.witness(40)
+    log.write("request:answered", request_id="r1", status=200)
+    first, second = read(log)[1:]
+    assert first["message_type"] == "request:admitted"
+    assert (second["node"], second["role"]) == ("pb-1", "entry")
+    assert second["sequence"] == first["sequence"] + 1
+    assert (first["clock"], second["clock"]) == (2, 41)
+
+
+SECRETS = [
+    {"operator_token": TOKEN},
+    {"headers": {"Authorization": "x"}},
+    {"reason": f"refused Bearer {TOKEN}"},
+    {"items": [{"deep": f"<{TOKEN}>"}]},
+]
+
+
+@pytest.mark.parametrize("fields", SECRETS)
+def test_secrets_are_not_written(log, fields):
+    log.write("event", **fields)
+    line = json.dumps(read(log)[-1])
+    assert TOKEN not in line
+    assert "[redacted]" in line
+
+
+ODD = [float("nan"), 2**80, "\ud800", b"\xff", object(), {1: {2: {3: {4: {}}}}}]
+
+
+@pytest.mark.parametrize("value", ODD, ids=str)
+def test_any_value_can_be_written(log, value):
+    log.write("event", value=value, node="other", clock=-1, message_type="x")
+    line = read(log)[-1]
+    assert (line["node"], line["message_type"]) == ("pb-1", "event")
+    assert line["clock"] == 2
+
+
+def test_lost_lines_are_counted_and_do_not_disturb_the_process(log):
+    whole = log.file.file
+
+    class FullDisk:
+        def write(self, data):
+            return whole.write(data[:5])
+
+    log.file.file = FullDisk()
+    log.write("lost")
+    log.write("lost")
+    log.file.file = whole
+    log.write("written")
+    last = json.loads(pathlib.Path(whole.name).read_text().splitlines()[-1])
+    assert last["message_type"] == "written"
+    assert last["lines_lost_before"] == 2
+
+
+def test_unwritable_folder_is_reported(tmp_path):
+    (tmp_path / "file").write_text("")
+    with pytest.raises(logs.LogError) as caught:
+        logs.EliotEventLog(
+            tmp_path / "file" / "x.log", "n", "entry", nng.LamportClock()
+        )
+    assert caught.value.code == logs.LOG_UNWRITABLE
