Add the timeline command

Cause: an operator needs one account of a request or change that touched several processes whose wall clocks disagree. The event log continues the counter of the last line of its file, so that a restarted process stays in order. Steering files check their selectors, and drains and labels refuse an empty one. Conclusion: the order within one log is kept even when its counter falls.

--- a/src/guavapulley/adapters/logs/_log.py
+++ b/src/guavapulley/adapters/logs/_log.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import errno
+import json
 import math
+import os
 import pathlib
 import re
 import threading
@@ -20,6 +22,8 @@
 REDACTED = "[redacted]"
 MAX_TEXT_CHARS = 4_096
 MAX_DEPTH = 4
+# Holds several of the longest lines.
+TAIL_BYTES = 262_144
 _SECRET_FIELD = re.compile(
     r"token|secret|password|authorization|cookie|cluster_key", re.IGNORECASE
 )
@@ -90,12 +94,32 @@
             self.lost_lines += 1
 
 
+def _last_clock(path: pathlib.Path) -> int:
+    """Returns the counter of the last whole line of a log file, or 0."""
+    if not path.exists():
+        return 0
+    with path.open("rb") as file:
+        file.seek(0, os.SEEK_END)
+        file.seek(max(0, file.tell() - TAIL_BYTES))
+        lines = file.read().splitlines()
+    for line in reversed(lines):
+        try:
+            clock = json.loads(line)["clock"]
+        except (ValueError, KeyError, TypeError):
+            continue
+        if isinstance(clock, int):
+            return clock
+    return 0
+
+
 class EliotEventLog:
     """Appends events to a log file; each is one line of JSON.
 
     Every line has `node`, `role`, `clock` (Lamport counter) and `sequence`
-    (the number of the event in its process). A line that cannot be written,
-    for example on a full disk, is counted and does not disturb the process.
+    (the number of the event in its process). The counter continues after the
+    one of the last line in the file, so that the events of a restarted process
+    stay in order. A line that cannot be written, for example on a full disk,
+    is counted and does not disturb the process.
 
     Args:
         path: Log file; missing folders are created.
@@ -123,6 +147,7 @@
         self.lock = threading.Lock()
         try:
             path.parent.mkdir(parents=True, exist_ok=True)
+            clock.witness(_last_clock(path))
             self.file = _LineFile(path)
         except OSError as error:
             raise LogError(
--- a/src/guavapulley/adapters/settings/_errors.py
+++ b/src/guavapulley/adapters/settings/_errors.py
@@ -62,7 +62,9 @@
         place = file or "settings"
         place += f", section [{section}]" if section else ""
         place += f", key {key}" if key else ""
-        hint = f"; allowed: {allowed}" if allowed else ""
+        # The caret under a selector needs the end of its line.
+        joint = "\n  allowed: " if "\n" in problem else "; allowed: "
+        hint = f"{joint}{allowed}" if allowed else ""
         super().__init__(
             code,
             f"{place}: {problem}{hint}",
--- a/src/guavapulley/adapters/settings/_steering.py
+++ b/src/guavapulley/adapters/settings/_steering.py
@@ -58,8 +58,10 @@
         ) from error
 
 
-def _selector(key: str) -> _Field:
-    return _Field(key, key, _values.parse_selector, required=True)
+def _selector(
+    key: str, parse: Callable[[str], str] = _values.parse_selector
+) -> _Field:
+    return _Field(key, key, parse, required=True)
 
 
 _COUNT = _values.integer_parser(0)
@@ -95,7 +97,7 @@
         model.LabelOverride,
         _values.parse_name,
         (
-            _selector("upstreams"),
+            _selector("upstreams", _values.parse_narrow_selector),
             _Field(
                 "labels",
                 "labels",
@@ -105,7 +107,11 @@
             ),
         ),
     ),
-    "drain": _Kind(model.Drain, _values.parse_name, (_selector("upstreams"),)),
+    "drain": _Kind(
+        model.Drain,
+        _values.parse_name,
+        (_selector("upstreams", _values.parse_narrow_selector),),
+    ),
     "region": _Kind(
         model.RegionLimit,
         _values.parse_name,
--- a/src/guavapulley/adapters/settings/_values.py
+++ b/src/guavapulley/adapters/settings/_values.py
@@ -6,6 +6,7 @@
 import re
 
 from guavapulley import model
+from guavapulley import selectors
 from guavapulley.adapters.settings import _errors
 from guavapulley.adapters.settings import _ini
 
@@ -15,8 +16,13 @@
 MAX_PORT = 65_535
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]*\Z")
+_WORD = re.compile(r"[\w./:-]+\Z")
 _INTEGER = re.compile(r"[0-9]{1,16}\Z")
 _SIGNED = re.compile(r"-?[0-9]{1,16}\Z")
+_SELECTOR_HINT = (
+    "terms `key = value`, `key != value`, `key in (a, b)`, `key notin (a, b)`,"
+    " `key` and `!key`, joined by commas"
+)
 _NUMBER = re.compile(r"[0-9]{1,16}(\.[0-9]{1,32})?([eE][+-]?[0-9]{1,3})?\Z")
 
 
@@ -130,7 +136,7 @@
                 "`key = value` pairs separated by commas, each key once; an"
                 " empty value removes the label",
             )
-        labels[parse_name(key)] = parse_name(value) if value else ""
+        labels[parse_word(key)] = parse_word(value) if value else ""
     if len(labels) > model.MAX_LABELS:
         raise invalid("too many labels", f"at most {model.MAX_LABELS}")
     return labels
@@ -168,10 +174,34 @@
     return " ".join(regions)
 
 
+def parse_word(text: str) -> str:
+    """Parses the key or value of a label, a word of the selector language."""
+    if len(text) > model.MAX_LABEL_CHARS or not _WORD.match(text):
+        raise invalid(
+            f"{_ini.quoted(text)} is no word",
+            f"1 to {model.MAX_LABEL_CHARS} letters, digits and _ . / : -",
+        )
+    return text
+
+
 def parse_selector(text: str) -> str:
-    """Checks a selector; the whitespace in it is already collapsed."""
+    """Checks a selector; the message points to the offending character."""
+    try:
+        selectors.parse(text)
+    except selectors.SelectorError as error:
+        raise invalid(error.message, _SELECTOR_HINT) from error
     if not text.isprintable():
         raise invalid(
-            f"{_ini.quoted(text)} has control characters", "printable text"
+            f"{_ini.quoted(text)} has control characters", _SELECTOR_HINT
         )
     return text
+
+
+def parse_narrow_selector(text: str) -> str:
+    """Checks a selector that must not match every upstream.
+
+    An empty value is more likely a slip than the wish to drain everything.
+    """
+    if not text:
+        raise invalid("the selector is empty", _SELECTOR_HINT)
+    return parse_selector(text)
--- /dev/null
+++ b/src/guavapulley/programs/_timeline.py
@@ -0,0 +1,224 @@
+"""Merges the logs of all processes in causal order."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import datetime
+import fnmatch
+import heapq
+import json
+import pathlib
+from typing import Any
+
+import attrs
+
+from guavapulley import errors
+
+LOG_UNREADABLE = errors.register_code(
+    "LOG_UNREADABLE", "A log file given to the timeline could not be read."
+)
+
+# Fields that every line has; the others are shown with their names.
+_COMMON = frozenset(
+    {
+        "action_status",
+        "action_type",
+        "clock",
+        "message_type",
+        "node",
+        "role",
+        "sequence",
+        "task_level",
+        "task_uuid",
+        "timestamp",
+    }
+)
+
+
+class TimelineError(errors.GuavapulleyError):
+    """A log file cannot be read."""
+
+
+@attrs.frozen
+class Event:
+    """One line of a log.
+
+    Attributes:
+        order: Lamport clock, raised where needed so that it never falls within
+            one log.
+        clock: Lamport clock as written.
+        process: Node and role, joined by a slash.
+        sequence: Number of the event in its process.
+        name: Name of the event.
+        timestamp: Wall-clock time in Unix seconds; clocks may disagree.
+        fields: Other fields.
+    """
+
+    order: int
+    clock: int
+    process: str
+    sequence: int
+    name: str
+    timestamp: float
+    fields: Mapping[str, Any]
+
+    def time(self) -> str:
+        """Returns the wall-clock time in UTC with milliseconds."""
+        try:
+            moment = datetime.datetime.fromtimestamp(
+                self.timestamp, datetime.UTC
+            )
+        except (OverflowError, ValueError, OSError):
+            return "?"
+        return f"{moment:%Y-%m-%d %H:%M:%S}.{moment.microsecond // 1000:03d}"
+
+    def details(self) -> Iterator[tuple[str, str]]:
+        """Yields the other fields as text without control characters."""
+        for name in sorted(self.fields):
+            value = self.fields[name]
+            if isinstance(value, str) and _is_plain(value):
+                yield name, value
+            else:
+                yield name, json.dumps(value, sort_keys=True)
+
+
+def _is_plain(text: str) -> bool:
+    return (
+        bool(text)
+        and text.isascii()
+        and text.isprintable()
+        and (" " not in text and '"' not in text)
+    )
+
+
+@attrs.frozen
+class Filter:
+    """Which events are shown; an empty attribute lets all through.
+
+    Attributes:
+        request: Value of the field `request_id`.
+        revision: Value of the field `revision`.
+        upstream: Value of the field `upstream`.
+        entry: Value of the field `entry`, or node of an entry's own events.
+        event: Pattern over event names, such as `request:*`.
+    """
+
+    request: str = ""
+    revision: str = ""
+    upstream: str = ""
+    entry: str = ""
+    event: str = ""
+
+    def accepts(self, event: Event) -> bool:
+        """Returns whether an event is shown."""
+        wanted = {
+            "request_id": self.request,
+            "revision": self.revision,
+            "upstream": self.upstream,
+        }
+        return (
+            all(
+                str(event.fields.get(name)) == value
+                for name, value in wanted.items()
+                if value
+            )
+            and (
+                not self.entry
+                or str(event.fields.get("entry")) == self.entry
+                or event.process == f"{self.entry}/entry"
+            )
+            and (not self.event or fnmatch.fnmatchcase(event.name, self.event))
+        )
+
+
+class LogReader:
+    """Reads the events of one log file in the order of its lines.
+
+    Attributes:
+        path: The file.
+        skipped_lines: Lines that are no events, such as torn ones.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.path = path
+        self.skipped_lines = 0
+
+    def events(self) -> Iterator[Event]:
+        """Yields the events.
+
+        Raises:
+            TimelineError: The file cannot be read.
+        """
+        order = 0
+        for line in self._lines():
+            event = _parse(line, order)
+            if event is None:
+                self.skipped_lines += 1
+            else:
+                order = event.order
+                yield event
+
+    def _lines(self) -> Iterator[bytes]:
+        try:
+            with self.path.open("rb") as file:
+                yield from (line for line in file if line.strip())
+        except OSError as error:
+            raise TimelineError(
+                LOG_UNREADABLE, f"{self.path}: {error.strerror}"
+            ) from error
+
+
+def _parse(line: bytes, least: int) -> Event | None:
+    try:
+        record = json.loads(line)
+        clock = int(record["clock"])
+        name = record.get("message_type") or record["action_type"]
+        return Event(
+            max(clock, least),
+            clock,
+            f"{record['node']}/{record['role']}",
+            int(record["sequence"]),
+            str(name),
+            float(record.get("timestamp", 0.0)),
+            {key: record[key] for key in record if key not in _COMMON},
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
+        return None
+
+
+def merge(
+    readers: Iterable[LogReader], shown: Filter | None = None
+) -> Iterator[Event]:
+    """Yields the events of all logs in causal order.
+
+    An event that caused another has the smaller Lamport clock (Lamport, 1978),
+    so sorting by it puts causes first; node and sequence break ties. The events
+    of one log keep their order.
+
+    Args:
+        readers: One for each log file.
+        shown: Which events to yield.
+
+    Raises:
+        TimelineError: A file cannot be read.
+    """
+    chosen = shown or Filter()
+    merged = heapq.merge(
+        *(reader.events() for reader in readers),
+        key=lambda event: (event.order, event.process),
+    )
+    return (event for event in merged if chosen.accepts(event))
+
+
+def text_lines(events: Iterable[Event]) -> Iterator[str]:
+    """Yields one line of text for each event."""
+    for event in events:
+        fields = " ".join(f"{name}={value}" for name, value in event.details())
+        name = event.name if _is_plain(event.name) else ascii(event.name)
+        process = event.process
+        if not _is_plain(process):
+            process = ascii(process)
+        yield (
+            f"{event.clock:>8}  {event.time()}  {process:<16}"
+            f"  {name:<28}  {fields}"
+        ).rstrip()
--- a/tests/adapters/logs/test_log.py
+++ b/tests/adapters/logs/test_log.py
@@ -84,6 +84,15 @@
     assert last["lines_lost_before"] == 2
 
 
+def test_restarted_process_continues_the_clock(log):
+    log.write("event")
+    log.file.write(b'{"clock": 99, "torn')
+    path = pathlib.Path(log.file.file.name)
+    clock = nng.LamportClock()
+    logs.EliotEventLog(path, "pb-1", "entry", clock).close()
+    assert clock.value == 3
+
+
 def test_unwritable_folder_is_reported(tmp_path):
     (tmp_path / "file").write_text("")
     with pytest.raises(logs.LogError) as caught:
