Spread the slots of an entry and let it use its part of a region elsewhere

Cause: traces of slow requests showed entry-7 owning three of its four slots at a slowed upstream, so that its requests queued (1,489 of 1,611 slow requests had waited); a second fault was that owned and borrowed requests were counted apart, so an entry could have more in a region than its part. Change: a slot goes to the entry with the fewest slots of that upstream; a request may use a foreign slot while the entry is below its part of the region; the part of the region bounds owned use too. Choice of an upstream also keeps medians instead of computing them each time. Regions are still above capacity at the start of a run.

--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -24,7 +24,7 @@
 MAX_REPORT_EFFECT = 1.0
 # Score of a region other than the nearest; larger than any other part.
 REMOTE_SCORE = 1_000.0
-BORROWED_SCORE = 0.5
+FOREIGN_SLOT_SCORE = 0.5
 AVOIDED_DOMAIN_SCORE = 100.0
 TIE_BREAK = 1e-3
 
@@ -182,13 +182,10 @@
 def free_slot(upstream: _catalog.Labelled, question: Question) -> str | None:
     """Excludes upstreams without a slot for this entry."""
     state = question.work.state
-    owned = state.slots.owned_now(upstream, question.now_s)
-    if state.slots.own[upstream.name] < owned:
-        return None
-    lent = state.slots.may_borrow(
+    use = state.slots.use_of(
         upstream, state.service.traffic_class, question.now_s
     )
-    return None if lent else "slots"
+    return "slots" if use is None else None
 
 
 ELIGIBILITY: Sequence[Rule] = (
@@ -223,19 +220,9 @@
     excluded: list[_decisions.Exclusion],
 ) -> Iterator[_catalog.Labelled]:
     """Yields the upstreams that no rule excludes, and keeps the reasons."""
-    for rule in rules:
-        upstreams = _kept(upstreams, rule, question, excluded)
-    yield from upstreams
-
-
-def _kept(
-    upstreams: Iterable[_catalog.Labelled],
-    rule: Rule,
-    question: Question,
-    excluded: list[_decisions.Exclusion],
-) -> Iterator[_catalog.Labelled]:
     for upstream in upstreams:
-        reason = rule(upstream, question)
+        found = (rule(upstream, question) for rule in rules)
+        reason = next((r for r in found if r is not None), None)
         if reason is None:
             yield upstream
         else:
@@ -263,8 +250,8 @@
             record.upstream, question.now_s
         )
         score = (counted + reported + 1) / record.slots * max(1.0, ratio)
-        borrowed = own >= slots.owned_now(upstream, question.now_s)
-        score += BORROWED_SCORE * borrowed
+        owned = own < slots.owned_at(upstream, question.now_s)
+        score += 0.0 if owned else FOREIGN_SLOT_SCORE
         if record.region != question.region:
             score += REMOTE_SCORE
             score += slots.load(record.region, question.now_s)
@@ -272,7 +259,7 @@
             score += AVOIDED_DOMAIN_SCORE
         score += TIE_BREAK * draw.random()
         yield (
-            _decisions.ScoredCandidate(record.upstream, score, borrowed),
+            _decisions.ScoredCandidate(record.upstream, score, owned),
             upstream,
         )
 
@@ -332,8 +319,8 @@
     work.decision.exclusions = tuple(excluded)
     if not candidates:
         return None
-    best, upstream = candidates[0]
+    upstream = candidates[0][1]
     return Choice(
         upstream,
-        state.slots.take(upstream.name, upstream.region, best.borrowed),
+        state.slots.take(upstream.name, upstream.region),
     )
--- a/src/guavapulley/steering/_decisions.py
+++ b/src/guavapulley/steering/_decisions.py
@@ -7,11 +7,17 @@
 
 @attrs.frozen
 class ScoredCandidate:
-    """An upstream that could have been chosen; the lowest score wins."""
+    """An upstream that could have been chosen; the lowest score wins.
+
+    Attributes:
+        upstream: Name of the upstream.
+        score: Its score.
+        owned: Whether a slot of the entry itself is free there.
+    """
 
     upstream: str
     score: float
-    borrowed: bool
+    owned: bool
 
 
 @attrs.frozen
--- a/src/guavapulley/steering/_division.py
+++ b/src/guavapulley/steering/_division.py
@@ -74,9 +74,11 @@
             key=lambda u: u.upstream,
         )
         places = _rounded(quotas, region, capacities[region])
-        turns = _turns(places)
-        for slot, entry in zip(_slots(inside), turns, strict=False):
-            owned[entry].append(slot)
+        for slot in _slots(inside):
+            entry = _next_owner(slot, places, owned)
+            if entry is not None:
+                places[entry] -= 1
+                owned[entry].append(slot)
     return owned
 
 
@@ -129,25 +131,32 @@
     return places
 
 
-def _turns(places: Mapping[str, int]) -> Iterator[str]:
-    """Yields the entries in turn, each as often as it has places."""
-    remaining = dict(places)
-    while any(remaining.values()):
-        for entry, count in remaining.items():
-            if count:
-                remaining[entry] = count - 1
-                yield entry
+def _next_owner(
+    slot: SlotId,
+    places: Mapping[str, int],
+    owned: Mapping[str, list[SlotId]],
+) -> str | None:
+    """Returns the entry that gets a slot.
 
+    The entry with the fewest slots of the upstream comes first, so that no
+    entry depends on one upstream alone.
+    """
+    open_entries = [entry for entry, count in places.items() if count > 0]
+    return min(
+        open_entries,
+        key=lambda entry: (
+            sum(s.upstream == slot.upstream for s in owned[entry]),
+            -places[entry],
+            xxhash.xxh64_intdigest(f"{slot.upstream}/{entry}".encode()),
+        ),
+        default=None,
+    )
 
-def _slots(upstreams: Sequence[Divisible]) -> Iterator[SlotId]:
-    """Yields the slots, each round with another first upstream.
 
-    Without the rotation an entry would own all slots of the same upstream and
-    depend on it alone.
-    """
+def _slots(upstreams: Sequence[Divisible]) -> Iterator[SlotId]:
+    """Yields the slots in rounds, one of each upstream in a round."""
     rounds = max((u.slots for u in upstreams), default=0)
     for number in range(rounds):
-        start = number % len(upstreams)
-        for upstream in [*upstreams[start:], *upstreams[:start]]:
+        for upstream in upstreams:
             if number < upstream.slots:
                 yield SlotId(upstream.upstream, number)
--- a/src/guavapulley/steering/_latency.py
+++ b/src/guavapulley/steering/_latency.py
@@ -40,6 +40,7 @@
         level: Probations since the last return to normal.
         excluded_until_s: End of the exclusion; None outside of a probation.
         good_probes: Probes of normal latency in this probation.
+        median_s: Median of the samples that were recent at the last sample.
     """
 
     incarnation: int = 0
@@ -50,12 +51,18 @@
     level: int = 0
     excluded_until_s: float | None = None
     good_probes: int = 0
+    median_s: float = 0.0
 
     def recent(self, now_s: float) -> list[float]:
         """Returns the latencies that are not too old."""
         oldest = now_s - SAMPLE_AGE_S
         return [latency for time, latency in self.samples if time >= oldest]
 
+    def add(self, now_s: float, latency_s: float) -> None:
+        """Adds a sample."""
+        self.samples.append((now_s, latency_s))
+        self.median_s = statistics.median(self.recent(now_s))
+
     def standing(self, now_s: float) -> Standing:
         """Returns the standing at a time."""
         if self.excluded_until_s is None:
@@ -102,10 +109,13 @@
             now_s: Now.
             without: Upstream that is left out.
         """
+        oldest = now_s - SAMPLE_AGE_S
         medians = [
-            statistics.median(recent)
+            state.median_s
             for name, state in self.upstreams.items()
-            if name != without and (recent := state.recent(now_s))
+            if name != without
+            and state.samples
+            and state.samples[-1][0] >= oldest
         ]
         if len(medians) < MIN_PEERS:
             return None
@@ -117,11 +127,10 @@
         1 is returned while there are too few samples to tell.
         """
         state = self.upstreams.get(upstream)
-        recent = state.recent(now_s) if state else []
-        if len(recent) < self.settings.min_slow_samples:
+        if not state or len(state.samples) < self.settings.min_slow_samples:
             return 1.0
         typical = self.typical_s(now_s, upstream)
-        return statistics.median(recent) / typical if typical else 1.0
+        return state.median_s / typical if typical else 1.0
 
     def hedge_delay_s(self) -> float | None:
         """Returns the time after which a request is slow for its peers."""
@@ -173,7 +182,7 @@
 
     def _sampled(self, upstream: str, now_s: float, latency_s: float) -> None:
         state = self.upstreams[upstream]
-        state.samples.append((now_s, latency_s))
+        state.add(now_s, latency_s)
         standing = state.standing(now_s)
         typical = self.typical_s(now_s, upstream)
         if typical is None:
@@ -186,7 +195,7 @@
             slow = sum(1 for sample in recent if sample > limit)
             if (
                 slow >= self.settings.min_slow_samples
-                and statistics.median(recent) > limit
+                and state.median_s > limit
                 and self._may_exclude(state)
             ):
                 self._exclude(state, now_s)
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import enum
 import math
 
 import attrs
@@ -18,6 +19,20 @@
 SLOTS_PER_FREE_SLOT = 4
 
 
+class Use(enum.StrEnum):
+    """How a request uses an upstream.
+
+    `OWNED` uses a slot that belongs to this entry. `SHARED` uses a slot of
+    another entry while the entry has fewer requests in the region than it owns
+    slots there, such as when its own ones are in probation; the region cannot
+    be overrun by it. `BORROWED` goes beyond the own part of the region.
+    """
+
+    OWNED = "owned"
+    SHARED = "shared"
+    BORROWED = "borrowed"
+
+
 class SlotBook:
     """Who uses which slots of a service.
 
@@ -39,12 +54,10 @@
         self.started_s = started_s
         self.own: collections.Counter[str] = collections.Counter()
         self.own_by_region: collections.Counter[str] = collections.Counter()
-        self.borrowed_by_region: collections.Counter[str] = (
-            collections.Counter()
-        )
         self.others: dict[str, _windows.PeakWindow] = {}
         self.others_by_region: dict[str, _windows.PeakWindow] = {}
         self.owned: dict[str, list[_division.SlotId]] = {}
+        self.owned_by_region: dict[str, list[_division.SlotId]] = {}
         self.owned_since: dict[_division.SlotId, float] = {}
         self.capacities: dict[str, int] = {}
         self.headroom: dict[str, float] = {}
@@ -87,9 +100,13 @@
         self.owned_since = {
             slot: self.owned_since.get(slot, now_s) for slot in mine
         }
+        regions = {u.name: u.region for u in upstreams}
         self.owned = {}
+        self.owned_by_region = {}
         for slot in mine:
             self.owned.setdefault(slot.upstream, []).append(slot)
+            region = regions[slot.upstream]
+            self.owned_by_region.setdefault(region, []).append(slot)
 
     def count_others(
         self,
@@ -120,6 +137,11 @@
         window = self.others.get(upstream)
         return window.value(now_s) if window else 0
 
+    def others_latest(self, upstream: str) -> int:
+        """Returns the newest count of other entries at an upstream."""
+        window = self.others.get(upstream)
+        return window.samples[-1][1] if window else 0
+
     def others_in(self, region: str, now_s: float) -> int:
         """Returns the requests of other entries in a region."""
         window = self.others_by_region.get(region)
@@ -135,15 +157,49 @@
             return slots
         return max(1, math.ceil(slots * age / self.settings.slow_start_s))
 
-    def owned_now(self, upstream: _catalog.Labelled, now_s: float) -> int:
-        """Returns the owned slots that can be used without restriction."""
+    def owned_at(self, upstream: _catalog.Labelled, now_s: float) -> int:
+        """Returns the owned slots of an upstream that can be used."""
         started = self.started_slots(upstream, now_s)
-        settled = now_s - (0 if self.alone else self.settings.ownership_delay_s)
+        settled = self._settled_before(now_s)
         return sum(
             slot.number < started and self.owned_since[slot] <= settled
             for slot in self.owned.get(upstream.name, ())
         )
 
+    def quota(self, region: str, now_s: float) -> int:
+        """Returns the owned slots of a region that can be used."""
+        settled = self._settled_before(now_s)
+        return sum(
+            self.owned_since[slot] <= settled
+            for slot in self.owned_by_region.get(region, ())
+        )
+
+    def _settled_before(self, now_s: float) -> float:
+        # Without other entries there is no previous owner.
+        return now_s - (0 if self.alone else self.settings.ownership_delay_s)
+
+    def use_of(
+        self,
+        upstream: _catalog.Labelled,
+        traffic_class: model.TrafficClass,
+        now_s: float,
+    ) -> Use | None:
+        """Returns how a request may use an upstream, or None for not now."""
+        name, region = upstream.name, upstream.region
+        within = self.own_by_region[region] < self.quota(region, now_s)
+        if within and self.own[name] < self.owned_at(upstream, now_s):
+            return Use.OWNED
+        spared = 1 if traffic_class is model.TrafficClass.BULK else 0
+        started = self.started_slots(upstream, now_s) - spared
+        if self.own[name] + self.others_latest(name) >= started:
+            return None
+        if within:
+            return Use.SHARED
+        full = self.own[name] + self.others_at(name, now_s) >= started
+        if full or not self._may_borrow(region, now_s):
+            return None
+        return Use.BORROWED
+
     def load(self, region: str, now_s: float) -> float:
         """Returns the part of the slots of a region known to be in use."""
         slots = self.capacities.get(region, 0)
@@ -156,35 +212,22 @@
         used = self.others_in(region, now_s) + self.own_by_region[region]
         return used + 1 <= slots * (1 - self.headroom.get(region, 0.0) / 100)
 
-    def may_borrow(
-        self,
-        upstream: _catalog.Labelled,
-        traffic_class: model.TrafficClass,
-        now_s: float,
-    ) -> bool:
-        """Returns whether a slot of another entry may be used."""
-        region = upstream.region
-        spared = 1 if traffic_class is model.TrafficClass.BULK else 0
-        used_here = self.own[upstream.name] + self.others_at(
-            upstream.name, now_s
-        )
-        if used_here + 1 + spared > self.started_slots(upstream, now_s):
-            return False
+    def _may_borrow(self, region: str, now_s: float) -> bool:
+        """Returns whether a region has room beyond the own quota."""
         used = self.others_in(region, now_s) + self.own_by_region[region]
         room = self.capacities[region] * self.settings.borrow_ceiling - used
-        borrowed = self.borrowed_by_region[region]
+        borrowed = self.own_by_region[region] - self.quota(region, now_s)
         if not self.owned_since and borrowed == 0:
             # An entry without any slot must be able to serve.
             return room >= 1
         borrowers = max(1, self.residents)
         return room >= (borrowed + 1) * borrowers - borrowed
 
-    def take(self, upstream: str, region: str, borrowed: bool) -> "Hold":
+    def take(self, upstream: str, region: str) -> "Hold":
         """Counts a request at an upstream until the hold is released."""
         self.own[upstream] += 1
         self.own_by_region[region] += 1
-        self.borrowed_by_region[region] += borrowed
-        return Hold(self, upstream, region, borrowed)
+        return Hold(self, upstream, region)
 
     def in_flight(self) -> Mapping[str, int]:
         """Returns the own requests by upstream."""
@@ -199,14 +242,12 @@
         book: Book that counts it.
         upstream: Upstream of the slot.
         region: Region of the upstream.
-        borrowed: Whether the slot belongs to another entry.
         on_release: Called after the slot was given back.
     """
 
     book: SlotBook
     upstream: str
     region: str
-    borrowed: bool
     on_release: Callable[[], None] = lambda: None
 
     def __enter__(self) -> "Hold":
@@ -215,5 +256,4 @@
     def __exit__(self, *exc_info: object) -> None:
         self.book.own[self.upstream] -= 1
         self.book.own_by_region[self.region] -= 1
-        self.book.borrowed_by_region[self.region] -= self.borrowed
         self.on_release()
