Serve late requests for 0.5 s after an entry has stopped accepting

Cause: a connection accepted just before the stop had not sent its request yet and was closed, which cut the request off. Change: after the listening socket is closed, idle connections are still served for 0.5 s.

--- a/src/guavapulley/adapters/http/_cheroot.py
+++ b/src/guavapulley/adapters/http/_cheroot.py
@@ -4,6 +4,7 @@
 import contextlib
 import io
 import logging
+import selectors
 import socket
 import threading
 import time
@@ -24,6 +25,8 @@
 # The class that cheroot derives its buffered reader from.
 _BufferedReader = _makefile.io.BufferedReader
 WAKE_TIMEOUT_S = 1.0
+# A caller that has just connected sends its request within a round trip.
+LINGER_S = 0.5
 _CODE_BY_STATUS = {
     408: _errors.REQUEST_TIMEOUT,
     413: _errors.TOO_LARGE,
@@ -204,17 +207,21 @@
         """Writes cheroot's messages to the event log."""
         self.events.write("http:server", message=msg, level=level)
 
-    def stop(self) -> None:
+    def stop(self, linger_s: float = LINGER_S) -> None:
         """Stops after every request that has arrived is answered.
 
-        Connections that wait to be accepted and kept connections with unread
-        bytes carry requests; closing them would cut those off.
+        Connections that wait to be accepted and kept connections may carry
+        requests that are still on their way; closing them at once would cut
+        those off.
+
+        Args:
+            linger_s: Time for which idle connections are still served.
         """
         with self.stop_lock:
             if self.ready:
-                self._stop()
+                self._stop(linger_s)
 
-    def _stop(self) -> None:
+    def _stop(self, linger_s: float) -> None:
         self.closing = True
         self._connections._stop_requested = True
         # A connection wakes the selector, which else sleeps for 0.5 s.
@@ -222,19 +229,31 @@
             socket.create_connection(self.bind_addr, WAKE_TIMEOUT_S).close()
         self._connections.stop()
         idle = [c for _, c in self._connections._selector.connections]
-        idle = [c for c in idle if c is not self]
         self.ready = False
         self._unservicable_conns.put(_server._STOPPING_FOR_INTERRUPT)
-        for conn in [*idle, *self._waiting()]:
-            if _has_bytes(conn):
-                self.process_conn(conn)
-            else:
-                conn.close()
+        waiting = list(self._waiting())
         self.socket.close()
         self._connections._selector.close()
+        self._serve_last([*idle, *waiting], linger_s)
         # Waits for ever: the handlers of the requests end by their deadlines.
         self.requests.stop(timeout=None)
 
+    def _serve_last(self, connections: list[Any], linger_s: float) -> None:
+        ends_at = time.monotonic() + linger_s
+        with selectors.DefaultSelector() as selector:
+            for conn in connections:
+                if conn is not self:
+                    selector.register(conn.socket, selectors.EVENT_READ, conn)
+            while selector.get_map():
+                left = ends_at - time.monotonic()
+                for key, _ in selector.select(max(0.0, left)):
+                    selector.unregister(key.fileobj)
+                    self.process_conn(key.data)
+                if left <= 0:
+                    break
+            for key in list(selector.get_map().values()):
+                key.data.close()
+
     def _waiting(self) -> Iterator[Any]:
         self.socket.settimeout(0)
         accept = self._connections._from_server_socket
@@ -249,13 +268,3 @@
             _Request(self, conn).simple_response("503 Service Unavailable")
             with contextlib.suppress(OSError):
                 conn.close()
-
-
-def _has_bytes(conn: Any) -> bool:
-    if conn.rfile.has_data():
-        return True
-    try:
-        conn.socket.settimeout(0)
-        return bool(conn.socket.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
--- a/src/guavapulley/adapters/http/_server.py
+++ b/src/guavapulley/adapters/http/_server.py
@@ -36,9 +36,15 @@
         """Lets every answer from now on end its connection."""
         self.cheroot.closing = True
 
-    async def stop(self) -> None:
-        """Answers what has arrived, closes idle connections and stops."""
-        await trio.to_thread.run_sync(self.cheroot.stop, limiter=self.limiter)
+    async def stop(self, linger_s: float = _cheroot.LINGER_S) -> None:
+        """Answers what has arrived, closes idle connections and stops.
+
+        Args:
+            linger_s: Time for which idle connections are still served.
+        """
+        await trio.to_thread.run_sync(
+            self.cheroot.stop, linger_s, limiter=self.limiter
+        )
 
 
 async def serve_http(
@@ -90,4 +96,5 @@
         finally:
             nursery.cancel_scope.cancel()
             with trio.CancelScope(shield=True):
-                await server.stop()
+                # Handlers are cancelled, so late requests are not served.
+                await server.stop(linger_s=0.0)
