--- a/src/guavapulley/consensus/_leader.py
+++ b/src/guavapulley/consensus/_leader.py
@@ -87,11 +87,13 @@
         """Steps down when no majority answered within the timeout."""
         timeout_s = self.state.env.settings.election_timeout_min_s
         while self.state.leading is leading:
-            remaining_s = timeout_s - self.state.quorum_age_s()
-            if remaining_s <= 0:
+            # Compared as a time, not as a rest, which rounding could keep
+            # above zero without any sleep.
+            due_s = self.state.quorum_known_s() + timeout_s
+            if due_s <= trio.current_time():
                 self.state.step_down("no quorum")
                 return
-            await trio.sleep(remaining_s)
+            await trio.sleep_until(due_s)
 
     async def _change_members(self, leading: _leadership.LeaderTerm) -> None:
         """Makes learners voters and removes the identities they replace."""
--- a/src/guavapulley/consensus/_state.py
+++ b/src/guavapulley/consensus/_state.py
@@ -119,17 +119,27 @@
         return next(found, None)
 
     def leader_address(self) -> model.NodeAddress | None:
-        """Returns the peer address of the leader, if known."""
+        """Returns the peer address of the leader, if recently heard of."""
+        silence_s = trio.current_time() - self.leader_contact_s
+        if (
+            self.leading is None
+            and silence_s > self.env.settings.election_timeout_max_s
+        ):
+            return None
         member = self.member(self.leader_id)
         return member.address if member else None
 
+    def quorum_known_s(self) -> float:
+        """Returns the time at which a quorum was last known."""
+        if self.leading is None:
+            return self.quorum_seen_s
+        now = trio.current_time()
+        seen_s = self.leading.quorum_seen_s(self.log.replicas, now)
+        return max(seen_s, self.quorum_seen_s)
+
     def quorum_age_s(self) -> float:
         """Returns the seconds since a quorum was last known."""
-        now = trio.current_time()
-        if self.leading is not None:
-            seen = self.leading.quorum_seen_s(self.log.replicas, now)
-            return now - max(seen, self.quorum_seen_s)
-        return now - self.quorum_seen_s
+        return trio.current_time() - self.quorum_known_s()
 
     async def adopt_term(self, term: int) -> None:
         """Takes over a newer term and returns once it is durable.
@@ -160,7 +170,7 @@
     def step_down(self, reason: str) -> None:
         """Gives up leadership or candidature."""
         if self.leading is not None:
-            self.quorum_seen_s = trio.current_time() - self.quorum_age_s()
+            self.quorum_seen_s = self.quorum_known_s()
             self.leading.ended.set()
             self.leading.acked.notify()
             self.committed.notify()
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 import trio
+import trio._core._run as trio_run
 
 from guavapulley import consensus
 from guavapulley import model
@@ -60,6 +61,9 @@
 
     def __init__(self, nursery, seed, count=3, make=consensus.Replica, **sets):
         self.nursery, self.rng = nursery, random.Random(seed)
+        # Makes a failure repeatable by its seed.
+        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+        trio_run._r.seed(seed)
         self.make = make
         self.settings = consensus.ConsensusSettings(**sets)
         self.events = []
