Let failed regions hand over: settle by counts, count the way, connect once

Traces gave four causes: a new division unsettled every slot of every entry at once (regions fell to 7 and 10 of 18 and 15); a request from another region held its slot for the 40 ms of the way; entries waited for a dead nearest region; a returned region counted with all slots during its slow start. Change: the lowest quota of the last 2 s counts instead of single slots; slots in other regions are stretched by the way, measured as the difference of the shortest latencies; regions whose upstreams all fail are left at once and one refused connection excludes an upstream; slow start is part of the division; short and once work is refused after a tenth and a quarter of its deadline so that callers use another entry; slots are divided before the first request.

--- a/src/guavapulley/steering/_catalog.py
+++ b/src/guavapulley/steering/_catalog.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
+import math
 
 import attrs
 import xxhash
@@ -74,15 +75,44 @@
         yield Labelled(known, labels, next(covering, None))
 
 
-def divisible(upstreams: Sequence[Labelled]) -> list[_division.Divisible]:
-    """Returns the upstreams whose slots are divided among entries."""
+def divisible(
+    upstreams: Sequence[Labelled],
+    old_since_s: float,
+    slow_start_s: float,
+    now_s: float,
+) -> list[_division.Divisible]:
+    """Returns the upstreams whose slots are divided among entries.
+
+    Args:
+        upstreams: Upstreams of one service.
+        old_since_s: Incarnations first seen before this time are not new.
+        slow_start_s: Time over which a new incarnation gets all its slots.
+        now_s: Now.
+    """
     return [
-        _division.Divisible(u.name, u.region, u.known.record.slots)
+        _division.Divisible(
+            u.name,
+            u.region,
+            _started_slots(u.known, old_since_s, slow_start_s, now_s),
+        )
         for u in upstreams
         if u.usable
     ]
 
 
+def _started_slots(
+    known: ports.KnownUpstream,
+    old_since_s: float,
+    slow_start_s: float,
+    now_s: float,
+) -> int:
+    slots = known.record.slots
+    age = now_s - known.first_seen_s
+    if known.first_seen_s <= old_since_s or age >= slow_start_s:
+        return slots
+    return max(1, math.ceil(slots * age / slow_start_s))
+
+
 def region_limits(
     configuration: model.Configuration,
 ) -> dict[str, model.RegionLimit]:
--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -250,7 +250,7 @@
             record.upstream, question.now_s
         )
         score = (counted + reported + 1) / record.slots * max(1.0, ratio)
-        owned = own < slots.owned_at(upstream, question.now_s)
+        owned = own < slots.owned[record.upstream]
         score += 0.0 if owned else FOREIGN_SLOT_SCORE
         if record.region != question.region:
             score += REMOTE_SCORE
@@ -265,7 +265,7 @@
 
 
 def _report_effect(
-    upstream: _catalog.Labelled, counted: int, question: Question
+    upstream: _catalog.Labelled, counted: float, question: Question
 ) -> float:
     report = upstream.known.record.load
     if report is None:
@@ -301,15 +301,17 @@
     state = work.state
     excluded: list[_decisions.Exclusion] = []
     eligible = list(passing(state.upstreams, ELIGIBILITY, question, excluded))
-    near = any(u.region == question.region for u in eligible)
+    normal = [
+        u
+        for u in eligible
+        if _standing(u, question) is _latency.Standing.NORMAL
+    ]
+    near = any(u.region == question.region for u in normal)
     waited = question.now_s - work.arrived_s
     question = attrs.evolve(
         question,
         near_only=near and waited < state.settings.spill_after_s,
-        only_outliers=all(
-            _standing(u, question) is not _latency.Standing.NORMAL
-            for u in eligible
-        ),
+        only_outliers=not normal,
     )
     available = passing(eligible, AVAILABILITY, question, excluded)
     candidates = sorted(
--- a/src/guavapulley/steering/_latency.py
+++ b/src/guavapulley/steering/_latency.py
@@ -17,8 +17,11 @@
 QUANTILE_EVERY = 32
 MIN_QUANTILE_SAMPLES = 20
 MIN_PEERS = 2
+FAILURES_TO_EXCLUDE = 2
 # Where latencies hardly vary, the quantile alone is reached by half of them.
 HEDGE_MIN_FACTOR = 1.5
+# One in this many latencies is below the floor.
+FLOOR_DIVISOR = 20
 
 
 class Standing(enum.StrEnum):
@@ -36,7 +39,8 @@
     Attributes:
         incarnation: Incarnation that was measured.
         samples: Times and latencies in seconds, newest last.
-        failures: Failed attempts since the last answer.
+        failures: Failed attempts since the last answer; refused connections
+            count twice.
         level: Probations since the last return to normal.
         excluded_until_s: End of the exclusion; None outside of a probation.
         good_probes: Probes of normal latency in this probation.
@@ -86,6 +90,8 @@
             maxlen=RECENT_LATENCIES
         )
         self.quantile_s: float | None = None
+        self.floor_s: float | None = None
+        self.middle_s: float | None = None
         self.since_quantile = 0
 
     def of(self, upstream: str, incarnation: int) -> UpstreamLatency:
@@ -154,17 +160,21 @@
         rest = self.typical_s(now_s, upstream) or 0.0
         self._sampled(upstream, now_s, elapsed_s + rest)
 
-    def failed(self, upstream: str, now_s: float) -> None:
+    def failed(self, upstream: str, now_s: float, *, not_run: bool) -> None:
         """Records an attempt without a whole answer.
 
+        One refused connection excludes the upstream; a broken answer may be
+        the fault of the request, so it takes two.
+
         Failures are often fast, and an upstream that fails fast has few
         requests in flight; without probation it would attract all requests.
         The limit on outliers does not hold here, because a failure needs no
         comparison with peers.
         """
         state = self.upstreams[upstream]
-        state.failures += 1
-        if state.standing(now_s) is Standing.PROBING or state.failures >= 2:
+        state.failures += 2 if not_run else 1
+        probing = state.standing(now_s) is Standing.PROBING
+        if probing or state.failures >= FAILURES_TO_EXCLUDE:
             self._exclude(state, now_s)
 
     def _may_exclude(self, state: UpstreamLatency) -> bool:
@@ -226,8 +236,9 @@
         if len(self.latencies) >= MIN_QUANTILE_SAMPLES:
             ordered = sorted(self.latencies)
             rank = int(self.settings.hedge_quantile * len(ordered))
-            median = ordered[len(ordered) // 2]
+            self.middle_s = ordered[len(ordered) // 2]
+            self.floor_s = ordered[len(ordered) // FLOOR_DIVISOR]
             self.quantile_s = max(
                 ordered[min(rank, len(ordered) - 1)],
-                HEDGE_MIN_FACTOR * median,
+                HEDGE_MIN_FACTOR * self.middle_s,
             )
--- a/src/guavapulley/steering/_lending.py
+++ b/src/guavapulley/steering/_lending.py
@@ -104,20 +104,21 @@
             )
             window.add(now_s, claimed)
 
-    def update(self, need: int, mean_s: float, now_s: float) -> None:
+    def update(self, need: float, mean_s: float, now_s: float) -> None:
         """Adapts the own claim to the need.
 
         Args:
-            need: Requests of this entry that run in the region or wait.
+            need: Slots for the requests of this entry that run in the region
+                or wait.
             mean_s: Mean time of a request.
             now_s: Now.
         """
-        if now_s < self.updated_s + UPDATE_S:
-            return
-        self.updated_s = now_s
         own = self.quotas.get(self.entry, 0)
         claim = self.claim
         claim.need.add(now_s, need)
+        if now_s < self.updated_s + UPDATE_S:
+            return
+        self.updated_s = now_s
         highest = claim.need.value(now_s)
         if now_s >= claim.full_at_s:
             claim.limit = max(claim.limit, min(own, claim.slots))
@@ -158,7 +159,7 @@
             if name == self.entry:
                 continue
             window = self.others.get(name)
-            claimed = window.value(now_s) if window else quota
+            claimed = int(window.value(now_s)) if window else quota
             surplus += max(0, quota - claimed)
             if claimed > quota and name in self.residents:
                 wanting.append(name)
--- a/src/guavapulley/steering/_placement.py
+++ b/src/guavapulley/steering/_placement.py
@@ -94,11 +94,13 @@
         wait_s = work.state.expected_wait_s(ahead)
         needed_s = wait_s + work.state.mean_s
         left_s = work.arrived_s + limit_s - trio.current_time()
-        if needed_s >= left_s:
+        kind = work.state.service.traffic_class
+        longest_s = self.settings.max_wait_parts[kind] * limit_s
+        if needed_s >= left_s or wait_s > longest_s:
             raise _errors.SteeringError(
                 _errors.OVERLOADED,
-                f"{ahead} requests wait; the answer would take "
-                f"{needed_s:.3f} s of {left_s:.3f} s left",
+                f"{ahead} requests wait; the request would wait "
+                f"{wait_s:.3f} s with {left_s:.3f} s left",
                 not_run=not work.may_have_run,
             )
 
--- a/src/guavapulley/steering/_services.py
+++ b/src/guavapulley/steering/_services.py
@@ -14,6 +14,8 @@
 
 # Weight of the newest request in the mean time of requests.
 MEAN_WEIGHT = 0.05
+# Requests in flight for each slot of another region, at most.
+MAX_STRETCH = 8.0
 
 
 class Lane:
@@ -43,9 +45,9 @@
         self.service = service
         self.view = view
         self.settings = settings
-        self.slots = _slots.SlotBook(
-            service.name, entry, region, settings, trio.current_time()
-        )
+        self.region = region
+        self.started_s = trio.current_time()
+        self.slots = _slots.SlotBook(service.name, entry, region, settings)
         self.latencies: dict[str, _latency.PeerLatencies] = {}
         self.retries = _budgets.Budget(
             settings.retry_percent, settings.budget_burst, settings.budget_burst
@@ -82,14 +84,21 @@
             self.seen_entries = tuple(entries)
         if new_upstreams or new_entries:
             self._divide(configuration, now_s)
+            self._measure_stretch()
             self.slots.count_others(self.upstreams, self.seen_entries, now_s)
         waiting = sum(lane.waiting for lane in self.lanes.values())
         self.slots.update_claims(waiting, self.mean_s, now_s)
 
     def _divide(self, configuration: model.Configuration, now_s: float) -> None:
         limits = _catalog.region_limits(configuration)
+        divisible = _catalog.divisible(
+            self.upstreams,
+            self.started_s + self.settings.settling_s,
+            self.settings.slow_start_s,
+            now_s,
+        )
         key = (
-            _catalog.divisible(self.upstreams),
+            divisible,
             [(e.name, e.region) for e in self.seen_entries],
             limits,
             self.service.traffic_class,
@@ -98,13 +107,25 @@
             return
         self.division_key = key
         self.slots.divide(
-            self.upstreams,
+            divisible,
             self.seen_entries,
             limits,
             self.service.traffic_class,
             now_s,
         )
 
+    def _measure_stretch(self) -> None:
+        """Compares the shortest latencies, which have no waiting in them."""
+        home = self.peers(self.region)
+        if home.floor_s is None or home.middle_s is None:
+            return
+        for region, peers in self.latencies.items():
+            if region != self.region and peers.floor_s is not None:
+                way_s = max(0.0, peers.floor_s - home.floor_s)
+                self.slots.stretches[region] = min(
+                    MAX_STRETCH, 1 + way_s / home.middle_s
+                )
+
     def _forget_gone(self) -> None:
         for region, peers in self.latencies.items():
             peers.forget_others(
@@ -134,7 +155,7 @@
         self.changed = trio.Event()
 
     def ran(self, duration_s: float) -> None:
-        """Counts the time that an attempt held its slot."""
+        """Counts the time of an answered attempt."""
         if self.mean_s == 0.0:
             self.mean_s = duration_s
         self.mean_s += MEAN_WEIGHT * (duration_s - self.mean_s)
--- a/src/guavapulley/steering/_settings.py
+++ b/src/guavapulley/steering/_settings.py
@@ -15,6 +15,14 @@
     }
 
 
+def _wait_parts() -> Mapping[model.TrafficClass, float]:
+    return {
+        model.TrafficClass.SHORT: 0.1,
+        model.TrafficClass.ONCE: 0.25,
+        model.TrafficClass.BULK: 1.0,
+    }
+
+
 @attrs.frozen
 class SteeringSettings:
     """Constants of the steering policy.
@@ -35,7 +43,12 @@
         slow_start_s: Time over which a new incarnation gets all its slots.
         settling_s: Incarnations first seen within this time after the start
             of the entry are not new.
-        max_attempts: Attempts for one request, without hedges.
+        max_wait_parts: Part of the deadline that a request may wait; one that
+            would wait longer is refused at once, so that its caller can use
+            another entry.
+        max_attempts: Attempts for one request that may have run, without
+            hedges.
+        max_connects: Attempts for one request that did not run.
         retry_percent: Retries, in percent of the requests.
         hedge_percent: Hedges, in percent of the requests, at low load.
         budget_burst: Retries or hedges that can be saved up.
@@ -65,7 +78,11 @@
     bulk_free_slots: int = 1
     slow_start_s: float = 10.0
     settling_s: float = 5.0
+    max_wait_parts: Mapping[model.TrafficClass, float] = attrs.field(
+        factory=_wait_parts
+    )
     max_attempts: int = 3
+    max_connects: int = 6
     retry_percent: float = 1.5
     hedge_percent: float = 3.0
     budget_burst: float = 5.0
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
-import math
 
 import attrs
 
@@ -47,34 +46,35 @@
         entry: str,
         region: str,
         settings: _settings.SteeringSettings,
-        started_s: float,
     ) -> None:
         self.service = service
         self.entry = entry
         self.region = region
         self.settings = settings
-        self.started_s = started_s
         self.own: collections.Counter[str] = collections.Counter()
         self.own_by_region: collections.Counter[str] = collections.Counter()
         self.others: dict[str, _windows.PeakWindow] = {}
         self.others_by_region: dict[str, _windows.PeakWindow] = {}
-        self.owned: dict[str, list[_division.SlotId]] = {}
-        self.owned_by_region: dict[str, list[_division.SlotId]] = {}
-        self.owned_since: dict[_division.SlotId, float] = {}
+        self.owned: collections.Counter[str] = collections.Counter()
+        self.quotas: dict[str, _windows.PeakWindow] = {}
+        self.stretches: collections.defaultdict[str, float] = (
+            collections.defaultdict(lambda: 1.0)
+        )
+        self.slots: dict[str, int] = {}
         self.capacities: dict[str, int] = {}
         self.headroom: dict[str, float] = {}
         self.lending: dict[str, _lending.Lending] = {}
 
     def divide(
         self,
-        upstreams: Sequence[_catalog.Labelled],
+        divisible: Sequence[_division.Divisible],
         entries: Sequence[model.EntryRecord],
         limits: dict[str, model.RegionLimit],
         traffic_class: model.TrafficClass,
         now_s: float,
     ) -> None:
         """Divides the slots anew after a change of upstreams or entries."""
-        divisible = _catalog.divisible(upstreams)
+        self.slots = {u.upstream: u.slots for u in divisible}
         self.capacities = _catalog.capacities(divisible, limits)
         self.headroom = {
             region: (
@@ -96,18 +96,11 @@
             [_division.Claimant(e, r) for e, r in claimants.items()],
             shared,
         )
-        mine = everyone[self.entry]
-        self.owned_since = {
-            slot: self.owned_since.get(slot, now_s) for slot in mine
-        }
-        regions = {u.name: u.region for u in upstreams}
-        self.owned = {}
-        self.owned_by_region = {}
-        for slot in mine:
-            self.owned.setdefault(slot.upstream, []).append(slot)
-            region = regions[slot.upstream]
-            self.owned_by_region.setdefault(region, []).append(slot)
-        for region in self.capacities:
+        regions = {u.upstream: u.region for u in divisible}
+        self.owned = collections.Counter(
+            slot.upstream for slot in everyone[self.entry]
+        )
+        for region in {*self.capacities, *self.lending}:
             self._divide_region(region, everyone, claimants, regions, now_s)
 
     def _divide_region(
@@ -120,11 +113,19 @@
     ) -> None:
         if region not in self.lending:
             self.lending[region] = _lending.Lending(self.entry, self.settings)
+            # The window holds the negative quota, so that its highest value
+            # is the lowest quota. It starts with none.
+            self.quotas[region] = _windows.PeakWindow(
+                self.settings.ownership_delay_s
+            )
+            self.quotas[region].add(now_s, 0)
+        quotas = {
+            entry: sum(regions[s.upstream] == region for s in slots)
+            for entry, slots in everyone.items()
+        }
+        self.quotas[region].add(now_s, -quotas[self.entry])
         self.lending[region].divide(
-            {
-                entry: sum(regions[s.upstream] == region for s in slots)
-                for entry, slots in everyone.items()
-            },
+            quotas,
             {entry for entry, home in claimants.items() if home == region},
             now_s,
         )
@@ -138,7 +139,7 @@
             now_s: Now.
         """
         for region, lending in self.lending.items():
-            need = self.own_by_region[region]
+            need = self.own_use(region)
             if region == self.region:
                 need += waiting
             lending.update(need, mean_s, now_s)
@@ -156,13 +157,20 @@
         """Takes over the counts that other entries gossip."""
         for region, lending in self.lending.items():
             lending.hear(entries, f"{self.service}/{region}", now_s)
-        others = [e.in_flight for e in entries if e.name != self.entry]
-        sums: collections.Counter[str] = collections.Counter()
+        others = [e for e in entries if e.name != self.entry]
+        sums: collections.defaultdict[str, float] = collections.defaultdict(
+            float
+        )
         for upstream in upstreams:
-            name = upstream.name
-            count = sum(counts.get(name, 0) for counts in others)
-            sums[upstream.region] += count
-            self._window(self.others, name).add(now_s, count)
+            region = upstream.region
+            stretch = self.stretches[region]
+            count = sum(
+                e.in_flight.get(upstream.name, 0)
+                / (1.0 if e.region == region else stretch)
+                for e in others
+            )
+            sums[region] += count
+            self._window(self.others, upstream.name).add(now_s, count)
         for region, count in sums.items():
             self._window(self.others_by_region, region).add(now_s, count)
 
@@ -173,53 +181,41 @@
             table[key] = _windows.PeakWindow(self.settings.hold_s)
         return table[key]
 
-    def others_at(self, upstream: str, now_s: float) -> int:
+    def others_at(self, upstream: str, now_s: float) -> float:
         """Returns the requests of other entries at an upstream."""
         window = self.others.get(upstream)
         return window.value(now_s) if window else 0
 
-    def others_latest(self, upstream: str) -> int:
+    def others_latest(self, upstream: str) -> float:
         """Returns the newest count of other entries at an upstream."""
         window = self.others.get(upstream)
         return window.samples[-1][1] if window else 0
 
-    def others_in(self, region: str, now_s: float) -> int:
+    def others_in(self, region: str, now_s: float) -> float:
         """Returns the requests of other entries in a region."""
         window = self.others_by_region.get(region)
         return window.value(now_s) if window else 0
 
-    def started_slots(self, upstream: _catalog.Labelled, now_s: float) -> int:
-        """Returns how many slots slow start allows all entries together."""
-        known = upstream.known
-        slots = known.record.slots
-        age = now_s - known.first_seen_s
-        new = known.first_seen_s > self.started_s + self.settings.settling_s
-        if not new or age >= self.settings.slow_start_s:
-            return slots
-        return max(1, math.ceil(slots * age / self.settings.slow_start_s))
-
-    def owned_at(self, upstream: _catalog.Labelled, now_s: float) -> int:
-        """Returns the owned slots of an upstream that can be used."""
-        started = self.started_slots(upstream, now_s)
-        settled = self._settled_before(now_s)
-        return sum(
-            slot.number < started and self.owned_since[slot] <= settled
-            for slot in self.owned.get(upstream.name, ())
-        )
-
     def limit(self, region: str, now_s: float) -> int:
-        """Returns the own slots of a region that may be used now."""
-        settled = self._settled_before(now_s)
-        owned = sum(
-            self.owned_since[slot] <= settled
-            for slot in self.owned_by_region.get(region, ())
-        )
-        return min(owned, self.lending[region].claim.limit)
+        """Returns the own slots of a region that may be used now.
+
+        After a new division the lowest quota of the last time counts, because
+        the previous owner of a slot may not know of the division yet.
+        """
+        lowest = -self.quotas[region].value(now_s)
+        return int(min(lowest, self.lending[region].claim.limit))
+
+    def stretch(self, region: str) -> float:
+        """Returns how many requests may be in flight for each slot.
+
+        A request from another region spends most of its time on the way and
+        takes its slot only for a part of it.
+        """
+        return 1.0 if region == self.region else self.stretches[region]
 
-    def _settled_before(self, now_s: float) -> float:
-        # This holds for a single entry too: an entry that has just started
-        # may not have heard of the others yet.
-        return now_s - self.settings.ownership_delay_s
+    def own_use(self, region: str) -> float:
+        """Returns the slots of a region that the own requests take."""
+        return self.own_by_region[region] / self.stretch(region)
 
     def use_of(
         self,
@@ -229,16 +225,19 @@
     ) -> Use | None:
         """Returns how a request may use an upstream, or None for not now."""
         name, region = upstream.name, upstream.region
-        within = self.own_by_region[region] < self.limit(region, now_s)
-        if within and self.own[name] < self.owned_at(upstream, now_s):
+        stretch = self.stretch(region)
+        own_here = self.own[name] / stretch
+        own = self.own_use(region)
+        within = own + 1 / stretch <= self.limit(region, now_s)
+        if within and own_here < self.owned[name]:
             return Use.OWNED
         spared = 1 if traffic_class is model.TrafficClass.BULK else 0
-        started = self.started_slots(upstream, now_s) - spared
-        if self.own[name] + self.others_latest(name) >= started:
+        slots = self.slots.get(name, 0) - spared
+        if own_here + self.others_latest(name) >= slots:
             return None
         if within:
             return Use.SHARED
-        full = self.own[name] + self.others_at(name, now_s) >= started
+        full = own_here + self.others_at(name, now_s) >= slots
         if full or not self._may_borrow(region, now_s):
             return None
         return Use.BORROWED
@@ -246,22 +245,22 @@
     def load(self, region: str, now_s: float) -> float:
         """Returns the part of the slots of a region known to be in use."""
         slots = self.capacities.get(region, 0)
-        used = self.others_in(region, now_s) + self.own_by_region[region]
+        used = self.others_in(region, now_s) + self.own_use(region)
         return used / slots if slots else 1.0
 
     def has_headroom(self, region: str, now_s: float) -> bool:
         """Returns whether a request from outside may enter a region."""
         slots = self.capacities.get(region, 0)
-        used = self.others_in(region, now_s) + self.own_by_region[region]
+        used = self.others_in(region, now_s) + self.own_use(region)
         return used + 1 <= slots * (1 - self.headroom.get(region, 0.0) / 100)
 
     def _may_borrow(self, region: str, now_s: float) -> bool:
         """Returns whether an entry may go beyond its part of a region."""
-        own = self.own_by_region[region]
+        own = self.own_use(region)
         used = self.others_in(region, now_s) + own
         if used >= self.capacities[region]:
             return False
-        if own == 0 and (region == self.region or not self.owned_since):
+        if own == 0 and (region == self.region or not self.owned):
             # An entry that has just started, or that owns no slot, must be
             # able to serve one request at a time.
             return True
--- a/src/guavapulley/steering/_steerer.py
+++ b/src/guavapulley/steering/_steerer.py
@@ -121,6 +121,8 @@
 
     def claims(self) -> dict[str, int]:
         """Returns the claimed slots by `SERVICE/REGION`, for gossip."""
+        for service in self.view.configuration().services().values():
+            self._state(service)
         for state in self.services.values():
             state.refresh()
         return {
@@ -132,13 +134,7 @@
     def _work(
         self, request: model.SteeredRequest, service: model.Service
     ) -> _choice.Work:
-        state = self.services.get(service.name)
-        if state is None:
-            state = _services.ServiceState(
-                service, self.view, self.entry, self.region, self.settings
-            )
-            self.services[service.name] = state
-        state.service = service
+        state = self._state(service)
         intents = self.view.configuration().intents()
         intent = _catalog.chosen_intent(request, intents)
         decision = _decisions.Decision(
@@ -152,6 +148,16 @@
             request, state, intent, trio.current_time(), decision
         )
 
+    def _state(self, service: model.Service) -> _services.ServiceState:
+        state = self.services.get(service.name)
+        if state is None:
+            state = _services.ServiceState(
+                service, self.view, self.entry, self.region, self.settings
+            )
+            self.services[service.name] = state
+        state.service = service
+        return state
+
     def _hedge_factor(self, load: float) -> float:
         """Returns the part of the hedge budget that remains at a load."""
         full = self.settings.hedge_full_load
@@ -163,15 +169,15 @@
     ) -> T:
         """Makes attempts one after the other until one gives an answer."""
         failure: Exception | None = None
-        for number in range(self.settings.max_attempts):
+        while True:
             try:
                 choice = await self.placement.placed(work, limit_s)
             except _errors.SteeringError as error:
                 if failure is None or error.code != _errors.NO_UPSTREAM:
                     raise
                 break
-            kind = "retry" if number else "first"
-            if not number:
+            kind = "retry" if failure else "first"
+            if failure is None:
                 now_s = trio.current_time()
                 work.decision.waited_s = now_s - work.arrived_s
                 self.metrics.timing(
@@ -201,8 +207,10 @@
         self, work: _choice.Work, error: ports.UpstreamError
     ) -> bool:
         if error.not_run:
-            # Costs the upstreams nothing; the number of attempts bounds it.
-            return True
+            # Costs the upstreams nothing, so it needs no budget.
+            return len(work.decision.attempts) < self.settings.max_connects
+        if work.reached >= self.settings.max_attempts:
+            return False
         kind = work.state.service.traffic_class
         if kind is model.TrafficClass.ONCE:
             return False
@@ -259,14 +267,14 @@
         work.tried.add(record.upstream)
         work.avoided_domains.add(record.failure_domain)
         work.reached += 1
-        outcome = "cancelled"
+        outcome, not_run = "cancelled", False
         try:
             with choice.hold:
                 answer = await attempt(record)
             outcome = "answered"
             return answer
         except (ports.UpstreamError, _errors.SteeringError) as error:
-            outcome = error.code
+            outcome, not_run = error.code, error.not_run
             work.reached -= error.not_run
             raise
         finally:
@@ -276,7 +284,7 @@
                     record.upstream, kind, started_s, elapsed_s, outcome
                 )
             )
-            self._record(work, record, outcome, elapsed_s)
+            self._record(work, record, outcome, elapsed_s, not_run=not_run)
 
     def _record(
         self,
@@ -284,14 +292,16 @@
         record: model.UpstreamRecord,
         outcome: str,
         elapsed_s: float,
+        *,
+        not_run: bool,
     ) -> None:
         now_s = trio.current_time()
         peers = work.state.peers(record.region)
         peers.of(record.upstream, record.incarnation)
-        work.state.ran(elapsed_s)
         if outcome == "answered":
+            work.state.ran(elapsed_s)
             peers.answered(record.upstream, now_s, elapsed_s)
         elif outcome == "cancelled":
             peers.overtaken(record.upstream, now_s, elapsed_s)
         elif outcome != _errors.LINK_CAP:
-            peers.failed(record.upstream, now_s)
+            peers.failed(record.upstream, now_s, not_run=not_run)
--- a/src/guavapulley/steering/_windows.py
+++ b/src/guavapulley/steering/_windows.py
@@ -19,11 +19,11 @@
     """
 
     span_s: float
-    samples: collections.deque[tuple[float, int]] = attrs.field(
+    samples: collections.deque[tuple[float, float]] = attrs.field(
         factory=collections.deque
     )
 
-    def add(self, now_s: float, value: int) -> None:
+    def add(self, now_s: float, value: float) -> None:
         """Adds the value that holds from now on."""
         # A value is superseded only when the next one is known, so its time
         # is moved to the last moment at which it held.
@@ -33,7 +33,7 @@
             self.samples.pop()
         self.samples.append((now_s, value))
 
-    def value(self, now_s: float) -> int:
+    def value(self, now_s: float) -> float:
         """Returns the highest value of the window; 0 when there is none."""
         while (
             len(self.samples) > 1 and self.samples[0][0] < now_s - self.span_s
