--- a/src/guavapulley/steering/_settings.py
+++ b/src/guavapulley/steering/_settings.py
@@ -15,6 +15,14 @@
     }
 
 
+def _wait_parts() -> Mapping[model.TrafficClass, float]:
+    return {
+        model.TrafficClass.SHORT: 0.1,
+        model.TrafficClass.ONCE: 0.25,
+        model.TrafficClass.BULK: 1.0,
+    }
+
+
 @attrs.frozen
 class SteeringSettings:
     """Constants of the steering policy.
@@ -28,16 +36,19 @@
         ownership_delay_s: A newly owned slot is used without restriction only
             after this time, because its previous owner may not know yet. It
             covers the usual delay of gossip.
-        hold_s: Counts of other entries are taken at their highest of this
-            time, because they arrive up to 2 s late.
-        borrow_ceiling: Borrowing stops when this part of the slots of a
-            region is known to be in use.
+        hold_s: Counts and claims of other entries are taken at their highest
+            of this time, because they arrive up to 2 s late.
         bulk_free_slots: Slots of each region that bulk work leaves free when
             the region has more than this many times four slots.
         slow_start_s: Time over which a new incarnation gets all its slots.
         settling_s: Incarnations first seen within this time after the start
             of the entry are not new.
-        max_attempts: Attempts for one request, without hedges.
+        max_wait_parts: Part of the deadline that a request may wait; one that
+            would wait longer is refused at once, so that its caller can use
+            another entry.
+        max_attempts: Attempts for one request that may have run, without
+            hedges.
+        max_connects: Attempts for one request that did not run.
         retry_percent: Retries, in percent of the requests.
         hedge_percent: Hedges, in percent of the requests, at low load.
         budget_burst: Retries or hedges that can be saved up.
@@ -64,11 +75,14 @@
     spill_after_s: float = 0.05
     ownership_delay_s: float = 2.0
     hold_s: float = 2.0
-    borrow_ceiling: float = 0.8
     bulk_free_slots: int = 1
     slow_start_s: float = 10.0
     settling_s: float = 5.0
+    max_wait_parts: Mapping[model.TrafficClass, float] = attrs.field(
+        factory=_wait_parts
+    )
     max_attempts: int = 3
+    max_connects: int = 6
     retry_percent: float = 1.5
     hedge_percent: float = 3.0
     budget_burst: float = 5.0
