--- a/src/guavapulley/serving/_keys.py
+++ b/src/guavapulley/serving/_keys.py
@@ -67,7 +67,7 @@
     >>> key = "01890a5d-ac96-774b-bcce-b302099a8057"
     >>> created_at(model.SteeredRequest("r", "s", "GET", "/", (), b"", "",
     ...     {}, key))
-    1688095370.39
+    1688096058.518
     """
     try:
         parsed = uuid.UUID(request.idempotency_key or "")
--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -13,11 +13,11 @@
 import sys
 
 import attrs
-from tests.integration import fault_proxy
 import trio
 import urllib3
 
 from guavapulley import model
+from tests.integration import fault_proxy
 
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 30
