Define the administration API and its client

Cause: operators need to read and change the configuration over HTTP, and the control package is still being written. Change: ports.AdminService, an HTTP front end and client for it, and the views of the command line.

--- a/src/guavapulley/adapters/http/__init__.py
+++ b/src/guavapulley/adapters/http/__init__.py
@@ -1,5 +1,14 @@
 """HTTP by cheroot and urllib3."""
 
+from guavapulley.adapters.http._admin import CHANGE_INVALID
+from guavapulley.adapters.http._admin import KEY_UNKNOWN
+from guavapulley.adapters.http._admin import REQUEST_UNKNOWN
+from guavapulley.adapters.http._admin import AdminFrontend
+from guavapulley.adapters.http._admin_client import ADMIN_UNREACHABLE
+from guavapulley.adapters.http._admin_client import AdminCallError
+from guavapulley.adapters.http._admin_client import AdminClient
+from guavapulley.adapters.http._admin_codec import from_json
+from guavapulley.adapters.http._admin_codec import to_json
 from guavapulley.adapters.http._errors import BAD_REQUEST
 from guavapulley.adapters.http._errors import INTERNAL_ERROR
 from guavapulley.adapters.http._errors import METHOD_NOT_ALLOWED
@@ -17,19 +26,28 @@
 from guavapulley.adapters.http._upstream_client import UrllibUpstreamClient
 
 __all__ = [
+    "ADMIN_UNREACHABLE",
     "BAD_REQUEST",
+    "CHANGE_INVALID",
     "INTERNAL_ERROR",
+    "KEY_UNKNOWN",
     "METHOD_NOT_ALLOWED",
     "NOT_AUTHORIZED",
     "NOT_FOUND",
+    "REQUEST_UNKNOWN",
     "STATUS_BY_CODE",
+    "AdminCallError",
+    "AdminClient",
+    "AdminFrontend",
     "HttpError",
     "HttpLimits",
     "HttpServer",
     "ListenError",
     "UrllibUpstreamClient",
     "error_answer",
+    "from_json",
     "json_answer",
     "send_answer",
     "serve_http",
+    "to_json",
 ]
--- a/src/guavapulley/adapters/settings/__init__.py
+++ b/src/guavapulley/adapters/settings/__init__.py
@@ -14,6 +14,7 @@
 from guavapulley.adapters.settings._process import Role
 from guavapulley.adapters.settings._process import load_process_settings
 from guavapulley.adapters.settings._process import parse_process_settings
+from guavapulley.adapters.settings._process import read_token
 from guavapulley.adapters.settings._steering import KINDS
 from guavapulley.adapters.settings._steering import check_object
 from guavapulley.adapters.settings._steering import load_steering
@@ -48,6 +49,7 @@
     "parse_object_key",
     "parse_process_settings",
     "parse_steering",
+    "read_token",
     "render_object",
     "render_steering",
 ]
--- a/src/guavapulley/adapters/settings/_process.py
+++ b/src/guavapulley/adapters/settings/_process.py
@@ -101,7 +101,18 @@
 
 
 def _token(text: str, folder: pathlib.Path) -> str:
-    path = _path(text, folder)
+    return read_token(_path(text, folder))
+
+
+def read_token(path: pathlib.Path) -> str:
+    """Reads a token file.
+
+    Args:
+        path: File with one line, without access for group and others.
+
+    Raises:
+        SettingsError: The file cannot be used.
+    """
     try:
         mode = path.stat().st_mode
     except OSError as error:
--- a/src/guavapulley/model/__init__.py
+++ b/src/guavapulley/model/__init__.py
@@ -1,5 +1,6 @@
 """Immutable data shared by all layers."""
 
+from guavapulley.model._configuration import OBJECT_KINDS
 from guavapulley.model._configuration import Change
 from guavapulley.model._configuration import ClientBlock
 from guavapulley.model._configuration import Configuration
@@ -71,6 +72,7 @@
 __all__ = [
     "MAX_LABELS",
     "MAX_LABEL_CHARS",
+    "OBJECT_KINDS",
     "Answer",
     "AnswerHead",
     "AppendEntries",
--- a/src/guavapulley/model/_configuration.py
+++ b/src/guavapulley/model/_configuration.py
@@ -166,7 +166,7 @@
     name: str
 
 
-_KINDS: Mapping[type, str] = {
+OBJECT_KINDS: Mapping[type, str] = {
     Service: "service",
     Intent: "intent",
     LabelOverride: "label",
@@ -183,7 +183,7 @@
     >>> str(object_key(Drain("rack-7", "rack = 7")).kind)
     'drain'
     """
-    return ObjectKey(_KINDS[type(item)], item.name)
+    return ObjectKey(OBJECT_KINDS[type(item)], item.name)
 
 
 @attrs.frozen
--- a/src/guavapulley/ports/__init__.py
+++ b/src/guavapulley/ports/__init__.py
@@ -1,5 +1,18 @@
 """Protocol types for everything outside the decisions."""
 
+from guavapulley.ports._admin import CHANGE_NOT_ACCEPTED
+from guavapulley.ports._admin import CHANGE_UNKNOWN
+from guavapulley.ports._admin import READ_FAILED
+from guavapulley.ports._admin import AcceptedChange
+from guavapulley.ports._admin import AdminError
+from guavapulley.ports._admin import AdminService
+from guavapulley.ports._admin import ConfigurationView
+from guavapulley.ports._admin import EntryRevision
+from guavapulley.ports._admin import ExplainedAttempt
+from guavapulley.ports._admin import ExplainedUpstream
+from guavapulley.ports._admin import Explanation
+from guavapulley.ports._admin import ReplicaView
+from guavapulley.ports._admin import RevisionStatus
 from guavapulley.ports._control import ControlPlane
 from guavapulley.ports._errors import CALL_TIMEOUT
 from guavapulley.ports._errors import DISK_FAILED
@@ -34,16 +47,27 @@
 
 __all__ = [
     "CALL_TIMEOUT",
+    "CHANGE_NOT_ACCEPTED",
+    "CHANGE_UNKNOWN",
     "DISK_FAILED",
     "LOG_CORRUPT",
     "PEER_UNREACHABLE",
+    "READ_FAILED",
     "UPSTREAM_BROKEN",
     "UPSTREAM_NOT_REACHED",
     "UPSTREAM_WRONG_ANSWER",
+    "AcceptedChange",
+    "AdminError",
+    "AdminService",
     "Codec",
+    "ConfigurationView",
     "ControlPlane",
     "DiskError",
+    "EntryRevision",
     "EventLog",
+    "ExplainedAttempt",
+    "ExplainedUpstream",
+    "Explanation",
     "Freshness",
     "HttpHandler",
     "KnownUpstream",
@@ -56,8 +80,10 @@
     "PeerError",
     "PeerHandler",
     "PeerRefusedError",
+    "ReplicaView",
     "ReplyWriter",
     "RequestHandler",
+    "RevisionStatus",
     "StateMachine",
     "SteeringView",
     "StoredLog",
--- /dev/null
+++ b/src/guavapulley/programs/_session.py
@@ -0,0 +1,130 @@
+"""What the commands of an operator share."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import functools
+import json
+import pathlib
+from typing import Any
+from typing import Concatenate
+from typing import ParamSpec
+
+import attrs
+import click
+import trio
+
+from guavapulley import model
+from guavapulley.adapters import http
+from guavapulley.adapters import settings
+
+P = ParamSpec("P")
+
+DEFAULT_TIMEOUT_S = 30.0
+# A status is read this often while a command waits.
+POLL_INTERVAL_S = 0.5
+
+
+@attrs.frozen
+class Session:
+    """One run of an operator's command.
+
+    Attributes:
+        client: Client of the administration API.
+        timeout_s: Longest time for a call, or for a wait.
+        as_json: Whether to print JSON.
+    """
+
+    client: http.AdminClient
+    timeout_s: float
+    as_json: bool
+
+    def show(
+        self, value: object, lines: Iterable[str], kind: Any = None
+    ) -> None:
+        """Prints a result as JSON or as lines for a person."""
+        if self.as_json:
+            body = http.to_json(value, kind)
+            click.echo(json.dumps(body, indent=2, sort_keys=True))
+        else:
+            for line in lines:
+                click.echo(line)
+
+    def tell(self, text: str) -> None:
+        """Prints a sentence for a person, on standard error."""
+        click.echo(text, err=True)
+
+
+class _Addresses(click.ParamType[tuple[model.NodeAddress, ...]]):
+    """Addresses separated by commas."""
+
+    name = "HOST:PORT,..."
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> tuple[model.NodeAddress, ...]:
+        """Parses the addresses."""
+        if isinstance(value, tuple):
+            return value
+        try:
+            found = settings.parse_addresses(value)
+        except settings.SettingsError as error:
+            self.fail(f"{error.problem}; allowed: {error.allowed}", param, ctx)
+        if not found:
+            self.fail("at least one address is needed", param, ctx)
+        return found
+
+
+def operator_command(
+    function: Callable[Concatenate[Session, P], Awaitable[None]],
+) -> Callable[..., None]:
+    """Turns an async function into a command that talks to control.
+
+    Args:
+        function: Takes the session, then the parameters of the command.
+    """
+
+    @click.option(
+        "--control",
+        type=_Addresses(),
+        envvar="GUAVAPULLEY_CONTROL",
+        required=True,
+        show_envvar=True,
+        help="HTTP addresses of the control replicas.",
+    )
+    @click.option(
+        "--token-file",
+        type=click.Path(path_type=pathlib.Path),
+        envvar="GUAVAPULLEY_TOKEN_FILE",
+        required=True,
+        show_envvar=True,
+        help="File with the operator token, with mode 0600.",
+    )
+    @click.option(
+        "--timeout",
+        type=click.FloatRange(min=0.1),
+        default=DEFAULT_TIMEOUT_S,
+        show_default=True,
+        help="Seconds to wait for an answer, and for --wait.",
+    )
+    @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+    @functools.wraps(function)
+    def command(
+        control: tuple[model.NodeAddress, ...],
+        token_file: pathlib.Path,
+        timeout: float,
+        as_json: bool,
+        *args: P.args,
+        **kwargs: P.kwargs,
+    ) -> None:
+        token = settings.read_token(token_file)
+        client = http.AdminClient(
+            control, token, timeout, lambda text: click.echo(text, err=True)
+        )
+        session = Session(client, timeout, as_json)
+        trio.run(functools.partial(function, session, *args, **kwargs))
+
+    return command
