--- a/src/guavapulley/adapters/http/__init__.py
+++ b/src/guavapulley/adapters/http/__init__.py
@@ -9,6 +9,10 @@
 from guavapulley.adapters.http._admin_client import AdminClient
 from guavapulley.adapters.http._admin_codec import from_json
 from guavapulley.adapters.http._admin_codec import to_json
+from guavapulley.adapters.http._entry_api import ApiError
+from guavapulley.adapters.http._entry_api import EntryApi
+from guavapulley.adapters.http._entry_frontend import EntryFrontend
+from guavapulley.adapters.http._entry_frontend import EntryServices
 from guavapulley.adapters.http._errors import BAD_REQUEST
 from guavapulley.adapters.http._errors import INTERNAL_ERROR
 from guavapulley.adapters.http._errors import METHOD_NOT_ALLOWED
@@ -20,6 +24,9 @@
 from guavapulley.adapters.http._errors import json_answer
 from guavapulley.adapters.http._errors import send_answer
 from guavapulley.adapters.http._limits import HttpLimits
+from guavapulley.adapters.http._routes import Call
+from guavapulley.adapters.http._routes import Route
+from guavapulley.adapters.http._routes import Router
 from guavapulley.adapters.http._server import HttpServer
 from guavapulley.adapters.http._server import ListenError
 from guavapulley.adapters.http._server import serve_http
@@ -39,10 +46,17 @@
     "AdminCallError",
     "AdminClient",
     "AdminFrontend",
+    "ApiError",
+    "Call",
+    "EntryApi",
+    "EntryFrontend",
+    "EntryServices",
     "HttpError",
     "HttpLimits",
     "HttpServer",
     "ListenError",
+    "Route",
+    "Router",
     "UrllibUpstreamClient",
     "error_answer",
     "from_json",
--- a/src/guavapulley/adapters/http/_admin.py
+++ b/src/guavapulley/adapters/http/_admin.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import hmac
 import re
 from typing import Any
-import urllib.parse
 
 import attrs
 
@@ -15,6 +13,7 @@
 from guavapulley.adapters import settings
 from guavapulley.adapters.http import _admin_codec
 from guavapulley.adapters.http import _errors
+from guavapulley.adapters.http import _routes
 
 REQUEST_UNKNOWN = errors.register_code(
     "REQUEST_UNKNOWN", "No entry that answered still knows of the request."
@@ -34,7 +33,8 @@
     model.VerdictKind.CONFLICT: 409,
     model.VerdictKind.INVALID: 422,
 }
-_BEARER = "bearer "
+PREFIX = "/v1/admin/"
+_NUMBER = re.compile(r"[0-9]{1,15}\Z")
 _ID = re.compile(r"[A-Za-z0-9._:-]+\Z")
 
 
@@ -42,42 +42,18 @@
     """A change that no replica was asked about."""
 
 
-@attrs.frozen
-class _Call:
-    """A request with its path parameter and query."""
-
-    request: model.HttpRequest
-    parameter: str
-    query: dict[str, str]
-
-
-@attrs.frozen
-class _Route:
-    """A path below `PREFIX`, with at most one parameter."""
-
-    method: str
-    pattern: re.Pattern[str]
-    run: Callable[[_Call], Awaitable[model.Answer]]
-
-
-def _route(
-    method: str, path: str, run: Callable[[_Call], Awaitable[model.Answer]]
-) -> _Route:
-    return _Route(method, re.compile(f"{PREFIX}{path}\\Z"), run)
-
-
-PREFIX = "/v1/admin/"
-
-
 class AdminFrontend:
-    """Answers operators over HTTP.
+    """Answers operators over HTTP; a `ports.HttpHandler`.
 
     Every path needs the operator token as a bearer token. Bodies are JSON.
 
     Args:
         service: Decides and answers.
         token: Operator token.
-        events: Receives changes and refused tokens.
+        events: Receives changes.
+
+    Raises:
+        ValueError: The token is empty, which would let everyone in.
     """
 
     def __init__(
@@ -86,67 +62,36 @@
         token: str,
         events: ports.EventLog,
     ) -> None:
+        if not token:
+            raise ValueError("the operator token is empty")
         self.service = service
-        self.token = token.encode()
         self.events = events
-        self.routes = (
-            _route("GET", "configuration", self._configuration),
-            _route("POST", "changes", self._change),
-            _route("GET", "history", self._history),
-            _route("GET", "revisions/([0-9]{1,15}|current)", self._revision),
-            _route("GET", "replicas", self._replicas),
-            _route("GET", "entries", self._entries),
-            _route("GET", "upstreams", self._upstreams),
-            _route("GET", "outcomes", self._outcome),
-            _route("GET", "requests/(.+)", self._request),
+        actions = (
+            ("GET", "configuration", self._configuration),
+            ("POST", "changes", self._change),
+            ("GET", "history", self._history),
+            ("GET", "revisions/{}", self._revision),
+            ("GET", "replicas", self._replicas),
+            ("GET", "entries", self._entries),
+            ("GET", "upstreams", self._upstreams),
+            ("GET", "outcomes", self._outcome),
+            ("GET", "requests/{}", self._request),
+        )
+        self.router = _routes.Router(
+            _routes.Route(method, f"{PREFIX}{path}", _action(run), token)
+            for method, path, run in actions
         )
 
     async def handle(
         self, request: model.HttpRequest, reply: ports.ReplyWriter
     ) -> None:
-        """Answers one request.
-
-        Raises:
-            GuavapulleyError: Sent as a JSON error by the server.
-        """
-        self._check_token(request)
-        route, parameter = self._find(request)
-        call = _Call(request, parameter, _query(request.query))
-        answer = await route.run(call)
-        await _errors.send_answer(reply, answer)
-
-    def _check_token(self, request: model.HttpRequest) -> None:
-        given = request.header("Authorization") or ""
-        token = (
-            given[len(_BEARER) :] if given.lower().startswith(_BEARER) else ""
-        )
-        if not hmac.compare_digest(token.strip().encode(), self.token):
-            self.events.write("admin:token_refused", peer=request.peer_host)
-            raise _errors.HttpError(
-                _errors.NOT_AUTHORIZED, "the operator token is missing or wrong"
-            )
+        """Answers one request; see `ports.HttpHandler`."""
+        await self.router.handle(request, reply)
 
-    def _find(self, request: model.HttpRequest) -> tuple[_Route, str]:
-        methods = []
-        for route in self.routes:
-            match = route.pattern.match(request.path)
-            if match and route.method == request.method:
-                return route, "".join(match.groups())
-            if match:
-                methods.append(route.method)
-        if methods:
-            raise _errors.HttpError(
-                _errors.METHOD_NOT_ALLOWED,
-                f"the path takes {', '.join(methods)}",
-            )
-        raise _errors.HttpError(
-            _errors.NOT_FOUND, "there is no such administration path"
-        )
-
-    async def _configuration(self, call: _Call) -> model.Answer:
+    async def _configuration(self, call: _routes.Call) -> model.Answer:
         return _answer(await self.service.configuration())
 
-    async def _change(self, call: _Call) -> model.Answer:
+    async def _change(self, call: _routes.Call) -> model.Answer:
         body = _admin_codec.parse_json(call.request.body)
         change = _admin_codec.from_json(body, model.Change)
         _check_change(change)
@@ -168,29 +113,30 @@
         )
         return _answer(verdict, status=_STATUS_BY_VERDICT[verdict.kind])
 
-    async def _history(self, call: _Call) -> model.Answer:
+    async def _history(self, call: _routes.Call) -> model.Answer:
         after = _number(call, "after", 0)
         limit = min(_number(call, "limit", DEFAULT_HISTORY), MAX_HISTORY)
         changes = tuple(await self.service.history(after, limit))
         return _answer(changes, tuple[ports.AcceptedChange, ...])
 
-    async def _revision(self, call: _Call) -> model.Answer:
-        wanted = None if call.parameter == "current" else int(call.parameter)
+    async def _revision(self, call: _routes.Call) -> model.Answer:
+        (name,) = call.segments
+        wanted = None if name == "current" else _whole_number("revision", name)
         return _answer(await self.service.revision_status(wanted))
 
-    async def _replicas(self, call: _Call) -> model.Answer:
+    async def _replicas(self, call: _routes.Call) -> model.Answer:
         found = tuple(await self.service.replicas())
         return _answer(found, tuple[ports.ReplicaView, ...])
 
-    async def _entries(self, call: _Call) -> model.Answer:
+    async def _entries(self, call: _routes.Call) -> model.Answer:
         found = tuple(await self.service.entries())
         return _answer(found, tuple[model.EntryRecord, ...])
 
-    async def _upstreams(self, call: _Call) -> model.Answer:
+    async def _upstreams(self, call: _routes.Call) -> model.Answer:
         found = tuple(await self.service.upstreams())
         return _answer(found, tuple[model.UpstreamRecord, ...])
 
-    async def _outcome(self, call: _Call) -> model.Answer:
+    async def _outcome(self, call: _routes.Call) -> model.Answer:
         service, key = (_text(call, name) for name in ("service", "key"))
         outcome = await self.service.outcome(service, key)
         if outcome is None:
@@ -201,8 +147,8 @@
             )
         return _answer(outcome)
 
-    async def _request(self, call: _Call) -> model.Answer:
-        explanation = await self.service.explain(call.parameter)
+    async def _request(self, call: _routes.Call) -> model.Answer:
+        explanation = await self.service.explain(call.segments[0])
         if explanation is None:
             raise _NotFoundError(
                 REQUEST_UNKNOWN, "no entry that answered knows of the request"
@@ -224,36 +170,34 @@
 )
 
 
+def _action(
+    run: Callable[[_routes.Call], Awaitable[model.Answer]],
+) -> _routes.Action:
+    async def action(call: _routes.Call, reply: ports.ReplyWriter) -> None:
+        await _errors.send_answer(reply, await run(call))
+
+    return action
+
+
 def _answer(value: object, kind: Any = None, status: int = 200) -> model.Answer:
     answer = _errors.json_answer(_admin_codec.to_json(value, kind), status)
     headers = (*answer.head.headers, ("Cache-Control", "no-store"))
     return attrs.evolve(answer, head=attrs.evolve(answer.head, headers=headers))
 
 
-def _query(text: str) -> dict[str, str]:
-    try:
-        pairs = urllib.parse.parse_qsl(
-            text, keep_blank_values=True, max_num_fields=16
-        )
-    except ValueError as error:
-        raise _errors.HttpError(
-            _errors.BAD_REQUEST, "the query has too many fields"
-        ) from error
-    return dict(pairs)
-
-
-def _text(call: _Call, name: str) -> str:
-    value = call.query.get(name, "")
+def _text(call: _routes.Call, name: str) -> str:
+    value = call.parameter(name)
     if not value:
         raise _errors.HttpError(_errors.BAD_REQUEST, f"the query needs {name}")
     return value
 
 
-def _number(call: _Call, name: str, default: int) -> int:
-    text = call.query.get(name)
-    if text is None:
-        return default
-    if not re.fullmatch(r"[0-9]{1,15}", text):
+def _number(call: _routes.Call, name: str, default: int) -> int:
+    return _whole_number(name, call.parameter(name, str(default)))
+
+
+def _whole_number(name: str, text: str) -> int:
+    if not _NUMBER.match(text):
         raise _errors.HttpError(
             _errors.BAD_REQUEST, f"{name} is no whole number"
         )
