Add the operators' commands with estimates of changes

Cause: operators race each other and lose answers; they must see what they change, against which revision, and what it would probably move. MemoryAdmin serves the sessions in the tests. Conclusion: a change whose answer is lost is made once and its verdict can be learned later.

--- a/src/guavapulley/programs/_cli.py
+++ b/src/guavapulley/programs/_cli.py
@@ -6,8 +6,13 @@
 import click
 
 from guavapulley import errors
+from guavapulley import ports
+from guavapulley.adapters import http
 from guavapulley.adapters import settings
+from guavapulley.programs import _cli_changes
+from guavapulley.programs import _cli_requests
 from guavapulley.programs import _cli_timeline
+from guavapulley.programs import _cli_views
 from guavapulley.programs import _exit
 
 
@@ -20,22 +25,51 @@
             return super().invoke(ctx)
         except errors.GuavapulleyError as error:
             click.echo(f"Error: {error}", err=True)
-            ctx.exit(_exit_code(error))
+            ctx.exit(exit_code(error))
 
 
-def _exit_code(error: errors.GuavapulleyError) -> _exit.Exit:
+def exit_code(error: errors.GuavapulleyError) -> _exit.Exit:
+    """Returns the exit code for an error."""
+    if isinstance(error, _exit.CommandError):
+        return error.exit_code
     if isinstance(error, settings.SettingsError):
         return _exit.Exit.USAGE
+    if isinstance(error, http.AdminCallError):
+        if not error.not_run:
+            return _exit.Exit.UNKNOWN_OUTCOME
+        if error.code in _NOT_ACCEPTED:
+            return _exit.Exit.NOT_ACCEPTED
     return _exit.Exit.ERROR
 
 
+_NOT_ACCEPTED = frozenset(
+    {ports.CHANGE_NOT_ACCEPTED, ports.READ_FAILED, http.CHANGE_INVALID}
+)
+
+
 @click.group(cls=_Group, epilog=_exit.HELP)
 @click.version_option(package_name="guavapulley")
 def cli() -> None:
     """Steer requests to upstreams by labels and selectors."""
 
 
-cli.add_command(_cli_timeline.timeline)
+_COMMANDS: tuple[click.Command, ...] = (
+    _cli_changes.apply,
+    _cli_changes.diff,
+    _cli_changes.drain,
+    _cli_changes.undrain,
+    _cli_changes.label,
+    _cli_views.show,
+    _cli_views.history,
+    _cli_views.status,
+    _cli_views.entries,
+    _cli_views.upstreams,
+    _cli_requests.outcome,
+    _cli_requests.explain,
+    _cli_timeline.timeline,
+)
+for _command in _COMMANDS:
+    cli.add_command(_command)
 
 
 def main() -> None:
--- a/src/guavapulley/selectors/_terms.py
+++ b/src/guavapulley/selectors/_terms.py
@@ -10,6 +10,10 @@
 class Term(Protocol):
     """One condition on the labels of an upstream or a request."""
 
+    @property
+    def key(self) -> str:
+        """Label that the condition is about."""
+
     def matches(self, labels: model.Labels) -> bool:
         """Returns whether the labels meet the condition."""
 
--- a/src/guavapulley/steering/__init__.py
+++ b/src/guavapulley/steering/__init__.py
@@ -1,5 +1,7 @@
 """Decisions about where requests go."""
 
+from guavapulley.steering._catalog import Labelled
+from guavapulley.steering._catalog import labelled
 from guavapulley.steering._decisions import Attempt
 from guavapulley.steering._decisions import Decision
 from guavapulley.steering._decisions import Exclusion
@@ -26,10 +28,12 @@
     "Attempt",
     "Decision",
     "Exclusion",
+    "Labelled",
     "LinkShares",
     "Reservation",
     "ScoredCandidate",
     "Steerer",
     "SteeringError",
     "SteeringSettings",
+    "labelled",
 ]
--- /dev/null
+++ b/tests/programs/test_cli.py
@@ -0,0 +1,197 @@
+"""Guards against sessions in which an operator is told something untrue."""
+
+import pytest
+
+from guavapulley import model
+from guavapulley import ports
+
+STEERING = """\
+[intent to-za]
+requests = service = line-status, tier = gold
+upstreams = region = za
+share = 50
+"""
+BAD_STEERING = """\
+[drain rack-1]
+upstreams = rack = (1
+"""
+
+
+@pytest.fixture(autouse=True)
+def files(tmp_path):
+    (tmp_path / "steering.ini").write_text(STEERING)
+    (tmp_path / "bad.ini").write_text(BAD_STEERING)
+
+
+def behind(revision, contact_s, detached_in_s):
+    return ports.EntryRevision("za-1", 7, contact_s, 1.5, detached_in_s)
+
+
+def status(*entries):
+    ready = ports.EntryRevision("pb-1", 8, 0.2)
+    return ports.RevisionStatus(8, 8, True, (ready, *entries))
+
+
+async def test_apply_and_history(console, golden):
+    codes, text = await console(
+        "show",
+        "diff steering.ini",
+        "apply steering.ini --comment 'more to za'",
+        "apply steering.ini",
+        "show intent",
+        "history",
+    )
+    golden("cli-apply.txt", text)
+    assert codes == [0] * 6
+
+
+async def test_dry_run_changes_nothing(console, golden, admin):
+    codes, text = await console(
+        "apply steering.ini --dry-run",
+        "drain pb 'region = pb' --dry-run",
+        "drain rack-1 'rack = 1' --dry-run",
+    )
+    golden("cli-dry-run.txt", text)
+    assert codes == [0, 0, 0]
+    assert admin.configuration_.revision == 7
+
+
+async def test_drain_and_label(console, golden):
+    codes, text = await console(
+        "drain rack-1 'rack = 1'",
+        "label cold 'region = za' 'cache = cold, rack ='",
+        "show label",
+        "undrain rack-1",
+        "undrain rack-1",
+        "label cold --remove",
+        "drain everything ''",
+    )
+    golden("cli-drain.txt", text)
+    assert codes == [0, 0, 0, 0, 1, 0, 2]
+
+
+async def test_conflict_shows_what_changed(console, golden, admin):
+    codes, text = await console(
+        "drain rack-1 'rack = 1' --operator petr --comment 'new floor'",
+        "apply steering.ini --base 7",
+        "apply steering.ini",
+    )
+    golden("cli-conflict.txt", text)
+    assert codes == [0, 3, 0]
+
+
+async def test_stale_replica_and_refusals(console, golden, admin):
+    refused = ports.AdminError(
+        ports.CHANGE_NOT_ACCEPTED, "this replica has no quorum", not_run=True
+    )
+    admin.refusals = [refused] * 100
+    first, text = await console("apply steering.ini --timeout 1")
+    admin.confirmed = False
+    admin.refusals = []
+    second, more = await console("apply steering.ini", "show")
+    golden("cli-refused.txt", text + more)
+    assert first + second == [4, 4, 0]
+    assert admin.configuration_.revision == 7
+
+
+async def test_lost_answer_is_resent_once_made(console, golden, admin):
+    admin.lost_answers = 1
+    admin.delay_s = 3600
+    codes, text = await console("apply steering.ini --timeout 1")
+    resent, more = await console(
+        "apply steering.ini --request-id id-1 --base 7", "history"
+    )
+    golden("cli-unknown.txt", text + more)
+    assert codes + resent == [5, 0, 0]
+    assert len(admin.accepted) == 1
+
+
+async def test_next_address_is_tried(console, golden, free_port):
+    codes, text = await console(
+        "apply steering.ini", servers=1, dead_port=free_port()
+    )
+    golden("cli-next-address.txt", text)
+    assert codes == [0]
+
+
+async def test_status_and_wait(console, golden, admin):
+    admin.known_replicas = [
+        ports.ReplicaView(model.NodeAddress("10.0.0.1", 9081), None)
+    ]
+    admin.statuses = [status(behind(8, 6.0, 4.0))]
+    first, text = await console("status 8", "status 8 --wait --timeout 0.3")
+    admin.statuses = [
+        status(behind(8, 9.9, 0.1)),
+        status(behind(8, 10.4, 0)),
+    ]
+    second, more = await console("status 8 --wait")
+    golden("cli-status.txt", text + more)
+    assert first + second == [0, 6, 0]
+
+
+async def test_entries_and_upstreams(console, golden):
+    codes, text = await console(
+        "entries", "upstreams", "upstreams --service none", "entries --json"
+    )
+    golden("cli-views.txt", text)
+    assert codes == [0] * 4
+
+
+async def test_outcome_and_explanation(console, golden, admin):
+    admin.outcomes = {
+        ("batch-release", "k1"): model.StoredOutcome(
+            "batch-release/k1", "h", "pb-1", "r1", 9, 0.0
+        ),
+        ("batch-release", "k2"): model.StoredOutcome(
+            "batch-release/k2",
+            "h",
+            "pb-1",
+            "r2",
+            9,
+            0.0,
+            model.OutcomeKind.COMPLETED,
+            model.Answer(model.AnswerHead(201), b"batch 7"),
+        ),
+    }
+    admin.explanations = {
+        "r/1": ports.Explanation(
+            "r/1",
+            "pb-1",
+            "line-status",
+            7,
+            "to-za",
+            0.01,
+            "answered",
+            (
+                ports.ExplainedUpstream("ls-za-1", score=0.25),
+                ports.ExplainedUpstream("ls-pb-1", "drain:rack-1"),
+            ),
+            (ports.ExplainedAttempt("ls-za-1", "first", 0.031, "answered"),),
+        )
+    }
+    codes, text = await console(
+        "outcome batch-release k1",
+        "outcome batch-release k2",
+        "outcome batch-release k3",
+        "explain r/1",
+        "explain r2",
+    )
+    golden("cli-requests.txt", text)
+    assert codes == [5, 0, 1, 0, 1]
+
+
+async def test_bad_usage_and_settings(console, golden, tmp_path):
+    (tmp_path / "open").write_text("x" * 20)
+    (tmp_path / "open").chmod(0o644)
+    (tmp_path / "wrong").write_text("x" * 20)
+    (tmp_path / "wrong").chmod(0o600)
+    codes, text = await console(
+        "apply bad.ini",
+        "apply absent.ini",
+        "show --token-file open",
+        "show --token-file wrong",
+        "show --control localhost:80",
+        "status nine",
+    )
+    golden("cli-usage.txt", text)
+    assert codes == [2, 2, 2, 1, 2, 2]
