--- a/src/guavapulley/programs/_cli.py
+++ b/src/guavapulley/programs/_cli.py
@@ -5,6 +5,7 @@
 
 import click
 
+import guavapulley
 from guavapulley import errors
 from guavapulley import ports
 from guavapulley.adapters import http
@@ -48,7 +49,7 @@
 
 
 @click.group(cls=_Group, epilog=_exit.HELP)
-@click.version_option(package_name="guavapulley")
+@click.version_option(guavapulley.__version__)
 def cli() -> None:
     """Steer requests to upstreams by labels and selectors."""
 
