Let control ask entries on behalf of operators

Cause: upstreams, entries and explanations are known by entries, and operators talk to control. The integration harness starts processes behind a proxy and polls /v1/status. Change: EntryDirectory asks entry seeds and entries; settings take announced addresses; the administration front end answers /v1/status without token; ages that are infinite pass through JSON; python -m guavapulley runs the command line. The status of an entry carries its clock, so that ages can be computed.

--- /dev/null
+++ b/src/guavapulley/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as `python -m guavapulley`."""
+
+from guavapulley import programs
+
+if __name__ == "__main__":
+    programs.main()
--- a/src/guavapulley/adapters/http/__init__.py
+++ b/src/guavapulley/adapters/http/__init__.py
@@ -11,6 +11,7 @@
 from guavapulley.adapters.http._admin_codec import to_json
 from guavapulley.adapters.http._entry_api import ApiError
 from guavapulley.adapters.http._entry_api import EntryApi
+from guavapulley.adapters.http._entry_directory import EntryDirectory
 from guavapulley.adapters.http._entry_frontend import EntryFrontend
 from guavapulley.adapters.http._entry_frontend import EntryServices
 from guavapulley.adapters.http._errors import BAD_REQUEST
@@ -49,6 +50,7 @@
     "ApiError",
     "Call",
     "EntryApi",
+    "EntryDirectory",
     "EntryFrontend",
     "EntryServices",
     "HttpError",
--- a/src/guavapulley/adapters/http/_admin.py
+++ b/src/guavapulley/adapters/http/_admin.py
@@ -45,7 +45,8 @@
 class AdminFrontend:
     """Answers operators over HTTP; a `ports.HttpHandler`.
 
-    Every path needs the operator token as a bearer token. Bodies are JSON.
+    Every path but `/v1/status` needs the operator token as a bearer token.
+    Bodies are JSON.
 
     Args:
         service: Decides and answers.
@@ -77,10 +78,12 @@
             ("GET", "outcomes", self._outcome),
             ("GET", "requests/{}", self._request),
         )
-        self.router = _routes.Router(
+        guarded = (
             _routes.Route(method, f"{PREFIX}{path}", _action(run), token)
             for method, path, run in actions
         )
+        status = _routes.Route("GET", "/v1/status", _action(self._status))
+        self.router = _routes.Router((status, *guarded))
 
     async def handle(
         self, request: model.HttpRequest, reply: ports.ReplyWriter
@@ -88,6 +91,9 @@
         """Answers one request; see `ports.HttpHandler`."""
         await self.router.handle(request, reply)
 
+    async def _status(self, call: _routes.Call) -> model.Answer:
+        return _answer(self.service.local_status())
+
     async def _configuration(self, call: _routes.Call) -> model.Answer:
         return _answer(await self.service.configuration())
 
--- a/src/guavapulley/adapters/http/_admin_codec.py
+++ b/src/guavapulley/adapters/http/_admin_codec.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import math
 from typing import Any
 from typing import TypeVar
 
@@ -23,6 +24,10 @@
         tag_generator=lambda kind: model.OBJECT_KINDS[kind],
         tag_name="kind",
     )
+    # JSON has no infinity, which is the age of what never happened.
+    converter.register_unstructure_hook(
+        float, lambda value: value if math.isfinite(value) else str(value)
+    )
     return converter
 
 
--- a/src/guavapulley/adapters/http/_entry_frontend.py
+++ b/src/guavapulley/adapters/http/_entry_frontend.py
@@ -4,6 +4,7 @@
 import secrets
 
 import attrs
+import trio
 
 from guavapulley import model
 from guavapulley import ports
@@ -157,6 +158,7 @@
             "entry": services.name,
             "state": services.follower.state().value,
             "revision": configuration.revision,
+            "now_s": trio.current_time(),
             "in_progress": services.requests.in_progress,
             "entries": [
                 _entry_json.encode(e) for e in services.view.live_entries()
--- a/src/guavapulley/adapters/memory/_admin.py
+++ b/src/guavapulley/adapters/memory/_admin.py
@@ -48,6 +48,10 @@
     lost_answers: int = 0
     delay_s: float = 0.0
 
+    def local_status(self) -> model.ReplicaStatus | None:
+        """Returns nothing, because there is no replica."""
+        return None
+
     async def configuration(self) -> ports.ConfigurationView:
         """Returns the current configuration."""
         return ports.ConfigurationView(self.configuration_, self.confirmed)
--- a/src/guavapulley/adapters/settings/_process.py
+++ b/src/guavapulley/adapters/settings/_process.py
@@ -34,6 +34,8 @@
         failure_domain: Its failure domain.
         http: Address for everything outside the system.
         peer: Address for the system's own processes.
+        announced_http: HTTP address that others use; `http` by default.
+        announced_peer: Peer address that others use; `peer` by default.
         control_peers: Peer addresses of the control replicas.
         entry_seeds: Peer addresses of entries to join through.
         data_folder: Folder for durable state; only control needs one.
@@ -50,6 +52,8 @@
     failure_domain: str
     http: model.NodeAddress
     peer: model.NodeAddress
+    announced_http: model.NodeAddress
+    announced_peer: model.NodeAddress
     control_peers: tuple[model.NodeAddress, ...]
     entry_seeds: tuple[model.NodeAddress, ...]
     data_folder: pathlib.Path | None
@@ -160,6 +164,12 @@
     ),
     _Key("listen", "http", "http", _plain(_values.parse_address)),
     _Key("listen", "peer", "peer", _plain(_values.parse_address)),
+    _Key(
+        "announce", "http", "announced_http", _plain(_values.parse_address), ()
+    ),
+    _Key(
+        "announce", "peer", "announced_peer", _plain(_values.parse_address), ()
+    ),
     _Key("control", "peers", "control_peers", _plain(_values.parse_addresses)),
     _Key(
         "entries",
@@ -230,6 +240,10 @@
         raise _values.invalid("the list is empty", "at least one address").at(
             file, "control", "peers"
         )
+    for name in ("http", "peer"):
+        values[f"announced_{name}"] = (
+            values[f"announced_{name}"] or values[name]
+        )
     return ProcessSettings(role=role, **values)
 
 
--- a/src/guavapulley/ports/_admin.py
+++ b/src/guavapulley/ports/_admin.py
@@ -182,6 +182,9 @@
     Each method raises `AdminError` when it has no answer in time.
     """
 
+    def local_status(self) -> model.ReplicaStatus | None:
+        """Returns the status of the replica that is asked."""
+
     async def configuration(self) -> ConfigurationView:
         """Returns the current configuration."""
 
--- a/src/guavapulley/programs/_cli_views.py
+++ b/src/guavapulley/programs/_cli_views.py
@@ -1,6 +1,7 @@
 """Commands that show the state of the system."""
 
 from collections.abc import Iterator
+import math
 
 import click
 import trio
@@ -166,6 +167,8 @@
 
 
 def _ago(age_s: float | None) -> str:
+    if age_s == math.inf:
+        return "never"
     return "-" if age_s is None else f"{_tables.duration(age_s)} ago"
 
 
--- a/tests/adapters/settings/test_process.py
+++ b/tests/adapters/settings/test_process.py
@@ -51,6 +51,12 @@
     assert found.cluster_key == b"0123456789abcdef"
 
 
+def test_announced_addresses_default_to_those_listened_on(folder):
+    found = parse(GOOD + "[announce]\npeer = 127.0.1.1:9080\n", folder)
+    assert found.announced_peer == model.NodeAddress("127.0.1.1", 9080)
+    assert found.announced_http == found.http
+
+
 def test_secrets_are_not_in_the_printed_form(folder):
     assert "0123456789abcdef" not in repr(parse(GOOD, folder))
 
