--- /dev/null
+++ b/src/guavapulley/control/_keys.py
@@ -0,0 +1,90 @@
+"""Durable records of idempotency keys."""
+
+import attrs
+
+from guavapulley import model
+
+KEY_RETENTION_S = 24 * 3_600.0
+# A key may be created by a clock that is this far ahead.
+MAX_KEY_AHEAD_S = 300.0
+
+
+class KeyTable:
+    """Claims and outcomes in the order of their claims.
+
+    A record is kept for the retention and `MAX_KEY_AHEAD_S` after its claim. A
+    claim of a key that is older than the retention is refused, so a key that
+    was dropped is never granted again.
+    """
+
+    def __init__(self) -> None:
+        self.outcomes: dict[str, model.StoredOutcome] = {}
+
+    def claim(
+        self, index: int, claim: model.ClaimKey, log_time_s: float
+    ) -> model.ClaimReply:
+        """Decides on a claim.
+
+        Args:
+            index: Log index of the command.
+            claim: The claim.
+            log_time_s: Log time; it never decreases.
+        """
+        self._drop_old(log_time_s)
+        known = self.outcomes.get(claim.key)
+        if known is not None:
+            return self._repeated(known, claim)
+        if claim.created_s < log_time_s - KEY_RETENTION_S:
+            return model.ClaimReply(model.ClaimStatus.EXPIRED)
+        outcome = model.StoredOutcome(
+            claim.key,
+            claim.body_hash,
+            claim.entry,
+            claim.request_id,
+            index,
+            log_time_s,
+        )
+        self.outcomes[claim.key] = outcome
+        return model.ClaimReply(model.ClaimStatus.GRANTED, outcome)
+
+    def _repeated(
+        self, known: model.StoredOutcome, claim: model.ClaimKey
+    ) -> model.ClaimReply:
+        if known.body_hash != claim.body_hash:
+            return model.ClaimReply(model.ClaimStatus.KEY_REUSED, known)
+        same = (known.entry, known.request_id) == (
+            claim.entry,
+            claim.request_id,
+        )
+        if same and known.kind is model.OutcomeKind.CLAIMED:
+            return model.ClaimReply(model.ClaimStatus.GRANTED, known)
+        return model.ClaimReply(model.ClaimStatus.EXISTS, known)
+
+    def record(self, record: model.RecordOutcome) -> model.RecordReply:
+        """Stores an outcome; a completed one is never replaced."""
+        known = self.outcomes.get(record.key)
+        if known is None or known.request_id != record.request_id:
+            return model.RecordReply(False)
+        if known.kind is not model.OutcomeKind.COMPLETED:
+            self.outcomes[record.key] = attrs.evolve(
+                known, kind=record.kind, answer=record.answer
+            )
+        return model.RecordReply(True)
+
+    def release(self, release: model.ReleaseClaim) -> model.RecordReply:
+        """Removes a claim without outcome."""
+        known = self.outcomes.get(release.key)
+        if known is None or known.request_id != release.request_id:
+            return model.RecordReply(False)
+        if known.kind is not model.OutcomeKind.CLAIMED:
+            return model.RecordReply(False)
+        del self.outcomes[release.key]
+        return model.RecordReply(True)
+
+    def _drop_old(self, log_time_s: float) -> None:
+        oldest_s = log_time_s - KEY_RETENTION_S - MAX_KEY_AHEAD_S
+        while self.outcomes:
+            key, outcome = next(iter(self.outcomes.items()))
+            if outcome.claimed_at_s >= oldest_s:
+                return
+            del self.outcomes[key]
--- /dev/null
+++ b/src/guavapulley/control/_validation.py
@@ -0,0 +1,84 @@
+"""Checks of a whole configuration before it is accepted."""
+
+from collections.abc import Iterator
+import ipaddress
+
+from guavapulley import errors
+from guavapulley import model
+from guavapulley import selectors
+
+MAX_OBJECTS = 10_000
+
+
+def configuration_fault(configuration: model.Configuration) -> str:
+    """Returns what is wrong with a configuration, or an empty text.
+
+    >>> configuration_fault(model.Configuration(1, (
+    ...     model.Intent("shift", "service = a", "region = za", 120.0),)))
+    'intent shift: share 120.0 is not between 0 and 100'
+    """
+    if len(configuration.objects) > MAX_OBJECTS:
+        return f"more than {MAX_OBJECTS} objects"
+    found = (
+        f"{model.object_key(item).kind} {item.name}: {fault}"
+        for item in configuration.objects
+        for fault in _faults(item)
+    )
+    return next(found, "")
+
+
+def _faults(item: model.ConfigurationObject) -> Iterator[str]:
+    match item:
+        case model.Service():
+            yield from _service_faults(item)
+        case model.Intent():
+            if not 0 <= item.share_percent <= 100:
+                yield f"share {item.share_percent} is not between 0 and 100"
+            yield from _selector_faults(item.requests)
+            yield from _selector_faults(item.upstreams)
+        case model.LabelOverride() | model.Drain():
+            yield from _selector_faults(item.upstreams)
+        case model.RegionLimit():
+            if item.max_in_flight < 0:
+                yield "the limit of requests in flight is negative"
+            if not 0 <= item.headroom_percent <= 100:
+                yield "the headroom is not between 0 and 100 percent"
+        case model.LinkCap():
+            yield from _link_faults(item)
+        case model.ClientBlock():
+            yield from _block_faults(item)
+
+
+def _service_faults(item: model.Service) -> Iterator[str]:
+    limits = (
+        item.deadline_ms,
+        item.max_request_bytes,
+        item.max_answer_bytes,
+        item.expected_answer_bytes,
+    )
+    if min(limits) <= 0:
+        yield "deadline and sizes must be positive"
+
+
+def _link_faults(item: model.LinkCap) -> Iterator[str]:
+    regions = item.name.split(" ")
+    if len(regions) != 2 or regions[0] >= regions[1]:
+        yield "the name must be two regions in alphabetic order"
+    if not item.mbit_per_s > 0:
+        yield "the cap must be positive"
+    if item.max_entries < 1:
+        yield "the number of entries must be positive"
+
+
+def _block_faults(item: model.ClientBlock) -> Iterator[str]:
+    try:
+        ipaddress.ip_network(item.name)
+    except ValueError as error:
+        yield str(error)
+
+
+def _selector_faults(text: str) -> Iterator[str]:
+    try:
+        selectors.parse(text)
+    except errors.GuavapulleyError as error:
+        yield error.message
--- a/src/guavapulley/model/__init__.py
+++ b/src/guavapulley/model/__init__.py
@@ -21,10 +21,13 @@
 from guavapulley.model._messages import ClaimKey
 from guavapulley.model._messages import ClaimReply
 from guavapulley.model._messages import ClaimStatus
+from guavapulley.model._messages import ContactsReply
+from guavapulley.model._messages import EntryContact
 from guavapulley.model._messages import EntryKind
 from guavapulley.model._messages import EntryRecord
 from guavapulley.model._messages import EntryState
 from guavapulley.model._messages import ErrorReply
+from guavapulley.model._messages import GetContacts
 from guavapulley.model._messages import GetOutcome
 from guavapulley.model._messages import GetStatus
 from guavapulley.model._messages import Gossip
@@ -70,6 +73,9 @@
 from guavapulley.model._upstreams import UpstreamState
 
 __all__ = [
+    "ContactsReply",
+    "EntryContact",
+    "GetContacts",
     "MAX_LABELS",
     "MAX_LABEL_CHARS",
     "OBJECT_KINDS",
--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -270,6 +270,33 @@
     confirmed: bool
 
 
+@attrs.frozen
+class EntryContact:
+    """What a control replica last heard of an entry.
+
+    Attributes:
+        entry: Name of the entry.
+        revision: Revision in force at the entry.
+        age_s: Seconds since the contact.
+    """
+
+    entry: str
+    revision: int
+    age_s: float
+
+
+@attrs.frozen
+class GetContacts:
+    """Asks a control replica which entries watch it."""
+
+
+@attrs.frozen
+class ContactsReply:
+    """Answer to `GetContacts`."""
+
+    contacts: tuple[EntryContact, ...]
+
+
 class ClaimStatus(enum.StrEnum):
     """Verdict on a claim."""
 
@@ -456,6 +483,8 @@
     | _configuration.Verdict
     | WatchConfiguration
     | WatchReply
+    | GetContacts
+    | ContactsReply
     | ClaimKey
     | ClaimReply
     | RecordOutcome
