--- a/src/guavapulley/adapters/http/_cheroot.py
+++ b/src/guavapulley/adapters/http/_cheroot.py
@@ -134,7 +134,7 @@
     """
 
     ConnectionClass = _Connection
-    keep_alive_conn_limit: Any = None
+    keep_alive_conn_limit: Any
     timeout: Any = None
     _connections: Any
     _unservicable_conns: Any
@@ -156,6 +156,8 @@
         self.max_request_body_size = limits.max_body_bytes
         self.max_request_header_size = limits.max_head_bytes
         self.timeout = limits.idle_s
+        self.max_connections = limits.connections()
+        self.keep_alive_conn_limit = _limits.KEPT_PART * self.max_connections
         self.request_queue_size = limits.backlog
         self.requests = threadpool.ThreadPool(
             self,
@@ -168,7 +170,10 @@
     def process_conn(self, conn: Any) -> None:
         """Gives a connection to a worker once it has sent a byte."""
         if conn.last_used is None and self.ready:
-            self.put_conn(conn)
+            if self._connections._num_connections < self.max_connections:
+                self.put_conn(conn)
+            else:
+                self._unservicable_conns.put(conn)
         else:
             super().process_conn(conn)
 
--- a/src/guavapulley/adapters/http/_limits.py
+++ b/src/guavapulley/adapters/http/_limits.py
@@ -1,7 +1,11 @@
 """Limits of the HTTP server."""
 
+import resource
+
 import attrs
 
+KEPT_PART = 0.8
+
 
 @attrs.frozen
 class HttpLimits:
@@ -15,6 +19,9 @@
         receive_s: Time for receiving a whole request after its first byte.
         idle_s: Time after which an idle kept connection is closed.
         send_s: Longest wait for a caller to take more of an answer.
+        max_connections: Open connections without a request in progress; at
+            most half of the files that the process may open. From
+            `KEPT_PART` of it on, connections are closed after an answer.
         queued_connections: Connections that may wait for a worker.
         backlog: Connections that may wait to be accepted.
     """
@@ -25,5 +32,16 @@
     receive_s: float = 10.0
     idle_s: float = 30.0
     send_s: float = 10.0
+    max_connections: int = 8_192
     queued_connections: int = 1_024
     backlog: int = 1_024
+
+    def connections(self) -> int:
+        """Returns the connections that the process can hold open.
+
+        Running out of files would make the accepting thread fail in a loop.
+        """
+        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if files == resource.RLIM_INFINITY:
+            return self.max_connections
+        return min(self.max_connections, files // 2)
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 
+import attrs
 import pytest
 import trio
 
@@ -193,6 +194,18 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_connections_are_limited_before_files_run_out():
+    limits = attrs.evolve(LIMITS, max_connections=4)
+    async with serving(limits) as (server, _):
+        idle = [await connect(server) for _ in range(4)]
+        kept = get("/").replace(b"Connection: close\r\n", b"")
+        await idle[0].send_all(kept)
+        first = await idle[0].receive_some()
+        refused = await receive_all(await connect(server))
+    assert b"200 OK" in first
+    assert json.loads(refused.partition(b"\r\n\r\n")[2])["not_run"]
+
+
 async def test_stop_answers_what_has_arrived():
     async with serving() as (server, handler), trio.open_nursery() as nursery:
         kept, waiting, idle = [await connect(server) for _ in range(3)]
--- /dev/null
+++ b/tests/serving/test_presence.py
@@ -0,0 +1,45 @@
+"""Guards against entries that look ready while they are not."""
+
+import trio
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley import serving
+
+STATE = model.EntryState
+
+
+class Member:
+    def __init__(self):
+        self.state = None
+        self.status = None
+
+    def set_state(self, state):
+        self.state = state
+
+    def set_status(self, revision, in_flight):
+        self.status = (revision, in_flight)
+
+
+class Steerer:
+    def in_flight(self):
+        return {"u1": 2}
+
+
+async def test_state_revision_and_counts_are_gossiped(memory, autojump_clock):
+    source, member = memory.Source(), Member()
+    follower = serving.ConfigurationFollower(
+        "e1", source, lambda: 0, ports.NullEventLog()
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serving.mirror_state, follower, Steerer(), member)
+        await trio.sleep(1)
+        assert member.state is STATE.STARTING
+        nursery.start_soon(follower.run)
+        await trio.sleep(1)
+        assert member.state is STATE.ALIVE
+        assert member.status == (5, {"u1": 2})
+        follower.confirmed_at_s = -100.0
+        await trio.sleep(0.2)
+        assert member.state is STATE.DETACHED
+        nursery.cancel_scope.cancel()
