--- a/src/guavapulley/adapters/http/__init__.py
+++ b/src/guavapulley/adapters/http/__init__.py
@@ -1,7 +1,17 @@
 """HTTP by cheroot and urllib3."""
 
+from guavapulley.adapters.http._admin import CHANGE_INVALID
+from guavapulley.adapters.http._admin import KEY_UNKNOWN
+from guavapulley.adapters.http._admin import REQUEST_UNKNOWN
+from guavapulley.adapters.http._admin import AdminFrontend
+from guavapulley.adapters.http._admin_client import ADMIN_UNREACHABLE
+from guavapulley.adapters.http._admin_client import AdminCallError
+from guavapulley.adapters.http._admin_client import AdminClient
+from guavapulley.adapters.http._admin_codec import from_json
+from guavapulley.adapters.http._admin_codec import to_json
 from guavapulley.adapters.http._entry_api import ApiError
 from guavapulley.adapters.http._entry_api import EntryApi
+from guavapulley.adapters.http._entry_directory import EntryDirectory
 from guavapulley.adapters.http._entry_frontend import EntryFrontend
 from guavapulley.adapters.http._entry_frontend import EntryServices
 from guavapulley.adapters.http._errors import BAD_REQUEST
@@ -24,15 +34,23 @@
 from guavapulley.adapters.http._upstream_client import UrllibUpstreamClient
 
 __all__ = [
+    "ADMIN_UNREACHABLE",
     "BAD_REQUEST",
+    "CHANGE_INVALID",
     "INTERNAL_ERROR",
+    "KEY_UNKNOWN",
     "METHOD_NOT_ALLOWED",
     "NOT_AUTHORIZED",
     "NOT_FOUND",
+    "REQUEST_UNKNOWN",
     "STATUS_BY_CODE",
+    "AdminCallError",
+    "AdminClient",
+    "AdminFrontend",
     "ApiError",
     "Call",
     "EntryApi",
+    "EntryDirectory",
     "EntryFrontend",
     "EntryServices",
     "HttpError",
@@ -43,7 +61,9 @@
     "Router",
     "UrllibUpstreamClient",
     "error_answer",
+    "from_json",
     "json_answer",
     "send_answer",
     "serve_http",
+    "to_json",
 ]
