--- a/src/guavapulley/__main__.py
+++ b/src/guavapulley/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the command line as `python -m guavapulley`."""
+"""Runs the command line by `python -m guavapulley`."""
 
 from guavapulley import programs
 
--- a/src/guavapulley/programs/_cli.py
+++ b/src/guavapulley/programs/_cli.py
@@ -12,6 +12,7 @@
 from guavapulley.adapters import settings
 from guavapulley.programs import _cli_changes
 from guavapulley.programs import _cli_requests
+from guavapulley.programs import _cli_roles
 from guavapulley.programs import _cli_timeline
 from guavapulley.programs import _cli_views
 from guavapulley.programs import _exit
@@ -55,6 +56,7 @@
 
 
 _COMMANDS: tuple[click.Command, ...] = (
+    _cli_roles.control,
     _cli_changes.apply,
     _cli_changes.diff,
     _cli_changes.drain,
--- /dev/null
+++ b/src/guavapulley/programs/_cli_roles.py
@@ -0,0 +1,50 @@
+"""Commands that run the roles of the system."""
+
+import functools
+import pathlib
+
+import click
+import trio
+
+from guavapulley.adapters import settings
+from guavapulley.programs import _control
+
+_settings_option = click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=pathlib.Path, dir_okay=False),
+    help="INI file with the settings of the process.",
+)
+
+
+@click.group()
+def control() -> None:
+    """Run or create a control replica."""
+
+
+@control.command("run")
+@_settings_option
+def control_run(path: pathlib.Path) -> None:
+    """Run the control replica of this VM until SIGTERM or SIGINT."""
+    loaded = settings.load_process_settings(path, settings.Role.CONTROL)
+    trio.run(_control.run_control, loaded)
+
+
+@control.command("init")
+@_settings_option
+@click.option(
+    "--peers-may-be-down",
+    is_flag=True,
+    help="Go on although a configured peer does not answer. Only for the very"
+    " first start: a peer that is in a cluster would be in another one.",
+)
+def control_init(path: pathlib.Path, peers_may_be_down: bool) -> None:
+    """Create the cluster, once, on one VM; the other replicas join it."""
+    loaded = settings.load_process_settings(path, settings.Role.CONTROL)
+    trio.run(
+        functools.partial(
+            _control.init_control, loaded, peers_may_be_down=peers_may_be_down
+        )
+    )
+    click.echo(f"{loaded.node}: cluster created")
