Bound waits, and let slots of long work settle for longer

Change: a waiting request is refused when its longest wait has passed; slots settle 2 s and three mean times; bulk work also needs a free slot by the counts of all entries.

--- a/src/guavapulley/steering/_placement.py
+++ b/src/guavapulley/steering/_placement.py
@@ -12,6 +12,7 @@
 from guavapulley.steering import _choice
 from guavapulley.steering import _errors
 from guavapulley.steering import _links
+from guavapulley.steering import _services
 from guavapulley.steering import _settings
 
 # Reasons that end while a request waits.
@@ -74,28 +75,35 @@
             choice = self.choose(work)
             if choice is not None:
                 return choice
-        self._refuse_early(work, lane.waiting, limit_s)
+        kind = work.state.service.traffic_class
+        longest_s = self.settings.max_wait_parts[kind] * limit_s
+        self._refuse_early(work, lane.waiting, limit_s, longest_s)
         lane.waiting += 1
         try:
-            async with lane.turn:
-                while True:
-                    choice = self.choose(work)
-                    if choice is not None:
-                        return choice
-                    with trio.move_on_after(self.settings.recheck_s):
-                        await work.state.changed.wait()
+            with trio.move_on_after(longest_s):
+                return await self._turn(work, lane)
         finally:
             lane.waiting -= 1
+        raise self.too_late(work, _errors.OVERLOADED)
+
+    async def _turn(
+        self, work: _choice.Work, lane: _services.Lane
+    ) -> _choice.Choice:
+        async with lane.turn:
+            while True:
+                choice = self.choose(work)
+                if choice is not None:
+                    return choice
+                with trio.move_on_after(self.settings.recheck_s):
+                    await work.state.changed.wait()
 
     def _refuse_early(
-        self, work: _choice.Work, ahead: int, limit_s: float
+        self, work: _choice.Work, ahead: int, limit_s: float, longest_s: float
     ) -> None:
-        """Refuses a request that would not be answered in time."""
+        """Refuses a request that would wait too long to be answered in time."""
         wait_s = work.state.expected_wait_s(ahead)
         needed_s = wait_s + work.state.mean_s
         left_s = work.arrived_s + limit_s - trio.current_time()
-        kind = work.state.service.traffic_class
-        longest_s = self.settings.max_wait_parts[kind] * limit_s
         if needed_s >= left_s or wait_s > longest_s:
             raise _errors.SteeringError(
                 _errors.OVERLOADED,
@@ -134,17 +142,23 @@
             self.links,
         )
 
-    def too_late(self, work: _choice.Work) -> _errors.SteeringError:
-        """Returns the error of a request whose deadline passed."""
+    def too_late(
+        self, work: _choice.Work, code: str = _errors.DEADLINE_EXCEEDED
+    ) -> _errors.SteeringError:
+        """Returns the error of a request that ran out of time.
+
+        Args:
+            work: The request.
+            code: Code, unless the limit of a region or link was the reason.
+        """
         reasons = {e.reason for e in work.decision.exclusions}
-        code = _errors.DEADLINE_EXCEEDED
         if not work.may_have_run and not work.decision.candidates:
             for reason, reason_code in _REASON_CODES.items():
                 if reason in reasons and "slots" not in reasons:
                     code = reason_code
         return _errors.SteeringError(
             code,
-            "the deadline passed",
+            "no upstream was free in time",
             not_run=not work.may_have_run,
             reasons=sorted(reasons),
         )
--- a/src/guavapulley/steering/_services.py
+++ b/src/guavapulley/steering/_services.py
@@ -111,6 +111,7 @@
             self.seen_entries,
             limits,
             self.service.traffic_class,
+            self.mean_s,
             now_s,
         )
 
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -71,9 +71,22 @@
         entries: Sequence[model.EntryRecord],
         limits: dict[str, model.RegionLimit],
         traffic_class: model.TrafficClass,
+        mean_s: float,
         now_s: float,
     ) -> None:
-        """Divides the slots anew after a change of upstreams or entries."""
+        """Divides the slots anew after a change of upstreams or entries.
+
+        Args:
+            divisible: Upstreams and the slots that they offer now.
+            entries: Live entries.
+            limits: Limits of regions by name.
+            traffic_class: Class of the service.
+            mean_s: Mean time of a request; slots that change hands are used
+                only after their last requests have ended.
+            now_s: Now.
+        """
+        settle_s = self.settings.ownership_delay_s
+        settle_s += _lending.DRAIN_FACTOR * mean_s
         self.slots = {u.upstream: u.slots for u in divisible}
         self.capacities = _catalog.capacities(divisible, limits)
         self.headroom = {
@@ -102,6 +115,7 @@
         )
         for region in {*self.capacities, *self.lending}:
             self._divide_region(region, everyone, claimants, regions, now_s)
+            self.quotas[region].span_s = settle_s
 
     def _divide_region(
         self,
@@ -225,13 +239,16 @@
     ) -> Use | None:
         """Returns how a request may use an upstream, or None for not now."""
         name, region = upstream.name, upstream.region
+        bulk = traffic_class is model.TrafficClass.BULK
+        if bulk and not self._has_room(region, now_s):
+            return None
         stretch = self.stretch(region)
         own_here = self.own[name] / stretch
         own = self.own_use(region)
         within = own + 1 / stretch <= self.limit(region, now_s)
         if within and own_here < self.owned[name]:
             return Use.OWNED
-        spared = 1 if traffic_class is model.TrafficClass.BULK else 0
+        spared = 1 if bulk else 0
         slots = self.slots.get(name, 0) - spared
         if own_here + self.others_latest(name) >= slots:
             return None
@@ -254,11 +271,18 @@
         used = self.others_in(region, now_s) + self.own_use(region)
         return used + 1 <= slots * (1 - self.headroom.get(region, 0.0) / 100)
 
+    def _has_room(self, region: str, now_s: float) -> bool:
+        """Returns whether a region is known to have a free slot.
+
+        Long requests can outlast the time in which slots change hands.
+        """
+        used = self.others_in(region, now_s) + self.own_use(region)
+        return used + 1 <= self.capacities[region]
+
     def _may_borrow(self, region: str, now_s: float) -> bool:
         """Returns whether an entry may go beyond its part of a region."""
         own = self.own_use(region)
-        used = self.others_in(region, now_s) + own
-        if used >= self.capacities[region]:
+        if not self._has_room(region, now_s):
             return False
         if own == 0 and (region == self.region or not self.owned):
             # An entry that has just started, or that owns no slot, must be
--- a/tests/steering/test_links.py
+++ b/tests/steering/test_links.py
@@ -113,7 +113,9 @@
     ]
     view = stubs.View(records)
     steerer = stubs.make_steerer(view)
+    # An entry learns its slots before its first request and uses them 2 s later.
     steerer.claims()
+    await trio.sleep(3)
     service = model.Service("s", model.TrafficClass.SHORT)
     for number in range(10):
         got = await steerer.run(stubs.request(number), service, attempt)
