--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -5,13 +5,13 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
-import math
 
 import attrs
 
 from guavapulley import model
 from guavapulley.steering import _catalog
 from guavapulley.steering import _division
+from guavapulley.steering import _lending
 from guavapulley.steering import _settings
 from guavapulley.steering import _windows
 
@@ -36,44 +36,45 @@
 class SlotBook:
     """Who uses which slots of a service.
 
-    An entry may always use the slots that it owns by the division. It borrows
-    others only where the counts of all entries leave room for every entry of
-    the region to borrow at the same time, because counts arrive late.
+    An entry may use the slots that it owns by the division and those that
+    others lend to it.
     """
 
     def __init__(
         self,
+        service: str,
         entry: str,
         region: str,
         settings: _settings.SteeringSettings,
-        started_s: float,
     ) -> None:
+        self.service = service
         self.entry = entry
         self.region = region
         self.settings = settings
-        self.started_s = started_s
         self.own: collections.Counter[str] = collections.Counter()
         self.own_by_region: collections.Counter[str] = collections.Counter()
         self.others: dict[str, _windows.PeakWindow] = {}
         self.others_by_region: dict[str, _windows.PeakWindow] = {}
-        self.owned: dict[str, list[_division.SlotId]] = {}
-        self.owned_by_region: dict[str, list[_division.SlotId]] = {}
-        self.owned_since: dict[_division.SlotId, float] = {}
+        self.owned: collections.Counter[str] = collections.Counter()
+        self.quotas: dict[str, _windows.PeakWindow] = {}
+        self.stretches: collections.defaultdict[str, float] = (
+            collections.defaultdict(lambda: 1.0)
+        )
+        self.slots: dict[str, int] = {}
         self.capacities: dict[str, int] = {}
         self.headroom: dict[str, float] = {}
-        self.residents = 1
-        self.alone = True
+        self.lending: dict[str, _lending.Lending] = {}
 
     def divide(
         self,
-        upstreams: Sequence[_catalog.Labelled],
+        divisible: Sequence[_division.Divisible],
         entries: Sequence[model.EntryRecord],
         limits: dict[str, model.RegionLimit],
         traffic_class: model.TrafficClass,
         now_s: float,
     ) -> None:
         """Divides the slots anew after a change of upstreams or entries."""
-        divisible = _catalog.divisible(upstreams)
+        self.slots = {u.upstream: u.slots for u in divisible}
         self.capacities = _catalog.capacities(divisible, limits)
         self.headroom = {
             region: (
@@ -90,23 +91,62 @@
                     shared[region] = slots - self.settings.bulk_free_slots
         claimants = {e.name: e.region for e in entries}
         claimants[self.entry] = self.region
-        self.alone = len(claimants) == 1
-        self.residents = sum(r == self.region for r in claimants.values())
-        mine = _division.divide(
+        everyone = _division.divide(
             divisible,
             [_division.Claimant(e, r) for e, r in claimants.items()],
             shared,
-        )[self.entry]
-        self.owned_since = {
-            slot: self.owned_since.get(slot, now_s) for slot in mine
+        )
+        regions = {u.upstream: u.region for u in divisible}
+        self.owned = collections.Counter(
+            slot.upstream for slot in everyone[self.entry]
+        )
+        for region in {*self.capacities, *self.lending}:
+            self._divide_region(region, everyone, claimants, regions, now_s)
+
+    def _divide_region(
+        self,
+        region: str,
+        everyone: Mapping[str, Sequence[_division.SlotId]],
+        claimants: Mapping[str, str],
+        regions: Mapping[str, str],
+        now_s: float,
+    ) -> None:
+        if region not in self.lending:
+            self.lending[region] = _lending.Lending(self.entry, self.settings)
+            # The window holds the negative quota, so that its highest value
+            # is the lowest quota. It starts with none.
+            self.quotas[region] = _windows.PeakWindow(
+                self.settings.ownership_delay_s
+            )
+            self.quotas[region].add(now_s, 0)
+        quotas = {
+            entry: sum(regions[s.upstream] == region for s in slots)
+            for entry, slots in everyone.items()
         }
-        regions = {u.name: u.region for u in upstreams}
-        self.owned = {}
-        self.owned_by_region = {}
-        for slot in mine:
-            self.owned.setdefault(slot.upstream, []).append(slot)
-            region = regions[slot.upstream]
-            self.owned_by_region.setdefault(region, []).append(slot)
+        self.quotas[region].add(now_s, -quotas[self.entry])
+        self.lending[region].divide(
+            quotas,
+            {entry for entry, home in claimants.items() if home == region},
+            now_s,
+        )
+
+    def update_claims(self, waiting: int, mean_s: float, now_s: float) -> None:
+        """Adapts the own claims.
+
+        Args:
+            waiting: Requests that wait in the entry.
+            mean_s: Mean time of a request.
+            now_s: Now.
+        """
+        for region, lending in self.lending.items():
+            need = self.own_use(region)
+            if region == self.region:
+                need += waiting
+            lending.update(need, mean_s, now_s)
+
+    def claims(self) -> dict[str, int]:
+        """Returns the claimed slots by region."""
+        return {r: lent.claim.slots for r, lent in self.lending.items()}
 
     def count_others(
         self,
@@ -115,13 +155,22 @@
         now_s: float,
     ) -> None:
         """Takes over the counts that other entries gossip."""
-        others = [e.in_flight for e in entries if e.name != self.entry]
-        sums: collections.Counter[str] = collections.Counter()
+        for region, lending in self.lending.items():
+            lending.hear(entries, f"{self.service}/{region}", now_s)
+        others = [e for e in entries if e.name != self.entry]
+        sums: collections.defaultdict[str, float] = collections.defaultdict(
+            float
+        )
         for upstream in upstreams:
-            name = upstream.name
-            count = sum(counts.get(name, 0) for counts in others)
-            sums[upstream.region] += count
-            self._window(self.others, name).add(now_s, count)
+            region = upstream.region
+            stretch = self.stretches[region]
+            count = sum(
+                e.in_flight.get(upstream.name, 0)
+                / (1.0 if e.region == region else stretch)
+                for e in others
+            )
+            sums[region] += count
+            self._window(self.others, upstream.name).add(now_s, count)
         for region, count in sums.items():
             self._window(self.others_by_region, region).add(now_s, count)
 
@@ -132,51 +181,41 @@
             table[key] = _windows.PeakWindow(self.settings.hold_s)
         return table[key]
 
-    def others_at(self, upstream: str, now_s: float) -> int:
+    def others_at(self, upstream: str, now_s: float) -> float:
         """Returns the requests of other entries at an upstream."""
         window = self.others.get(upstream)
         return window.value(now_s) if window else 0
 
-    def others_latest(self, upstream: str) -> int:
+    def others_latest(self, upstream: str) -> float:
         """Returns the newest count of other entries at an upstream."""
         window = self.others.get(upstream)
         return window.samples[-1][1] if window else 0
 
-    def others_in(self, region: str, now_s: float) -> int:
+    def others_in(self, region: str, now_s: float) -> float:
         """Returns the requests of other entries in a region."""
         window = self.others_by_region.get(region)
         return window.value(now_s) if window else 0
 
-    def started_slots(self, upstream: _catalog.Labelled, now_s: float) -> int:
-        """Returns how many slots slow start allows all entries together."""
-        known = upstream.known
-        slots = known.record.slots
-        age = now_s - known.first_seen_s
-        new = known.first_seen_s > self.started_s + self.settings.settling_s
-        if not new or age >= self.settings.slow_start_s:
-            return slots
-        return max(1, math.ceil(slots * age / self.settings.slow_start_s))
-
-    def owned_at(self, upstream: _catalog.Labelled, now_s: float) -> int:
-        """Returns the owned slots of an upstream that can be used."""
-        started = self.started_slots(upstream, now_s)
-        settled = self._settled_before(now_s)
-        return sum(
-            slot.number < started and self.owned_since[slot] <= settled
-            for slot in self.owned.get(upstream.name, ())
-        )
+    def limit(self, region: str, now_s: float) -> int:
+        """Returns the own slots of a region that may be used now.
 
-    def quota(self, region: str, now_s: float) -> int:
-        """Returns the owned slots of a region that can be used."""
-        settled = self._settled_before(now_s)
-        return sum(
-            self.owned_since[slot] <= settled
-            for slot in self.owned_by_region.get(region, ())
-        )
+        After a new division the lowest quota of the last time counts, because
+        the previous owner of a slot may not know of the division yet.
+        """
+        lowest = -self.quotas[region].value(now_s)
+        return int(min(lowest, self.lending[region].claim.limit))
+
+    def stretch(self, region: str) -> float:
+        """Returns how many requests may be in flight for each slot.
 
-    def _settled_before(self, now_s: float) -> float:
-        # Without other entries there is no previous owner.
-        return now_s - (0 if self.alone else self.settings.ownership_delay_s)
+        A request from another region spends most of its time on the way and
+        takes its slot only for a part of it.
+        """
+        return 1.0 if region == self.region else self.stretches[region]
+
+    def own_use(self, region: str) -> float:
+        """Returns the slots of a region that the own requests take."""
+        return self.own_by_region[region] / self.stretch(region)
 
     def use_of(
         self,
@@ -186,16 +225,19 @@
     ) -> Use | None:
         """Returns how a request may use an upstream, or None for not now."""
         name, region = upstream.name, upstream.region
-        within = self.own_by_region[region] < self.quota(region, now_s)
-        if within and self.own[name] < self.owned_at(upstream, now_s):
+        stretch = self.stretch(region)
+        own_here = self.own[name] / stretch
+        own = self.own_use(region)
+        within = own + 1 / stretch <= self.limit(region, now_s)
+        if within and own_here < self.owned[name]:
             return Use.OWNED
         spared = 1 if traffic_class is model.TrafficClass.BULK else 0
-        started = self.started_slots(upstream, now_s) - spared
-        if self.own[name] + self.others_latest(name) >= started:
+        slots = self.slots.get(name, 0) - spared
+        if own_here + self.others_latest(name) >= slots:
             return None
         if within:
             return Use.SHARED
-        full = self.own[name] + self.others_at(name, now_s) >= started
+        full = own_here + self.others_at(name, now_s) >= slots
         if full or not self._may_borrow(region, now_s):
             return None
         return Use.BORROWED
@@ -203,25 +245,29 @@
     def load(self, region: str, now_s: float) -> float:
         """Returns the part of the slots of a region known to be in use."""
         slots = self.capacities.get(region, 0)
-        used = self.others_in(region, now_s) + self.own_by_region[region]
+        used = self.others_in(region, now_s) + self.own_use(region)
         return used / slots if slots else 1.0
 
     def has_headroom(self, region: str, now_s: float) -> bool:
         """Returns whether a request from outside may enter a region."""
         slots = self.capacities.get(region, 0)
-        used = self.others_in(region, now_s) + self.own_by_region[region]
+        used = self.others_in(region, now_s) + self.own_use(region)
         return used + 1 <= slots * (1 - self.headroom.get(region, 0.0) / 100)
 
     def _may_borrow(self, region: str, now_s: float) -> bool:
-        """Returns whether a region has room beyond the own quota."""
-        used = self.others_in(region, now_s) + self.own_by_region[region]
-        room = self.capacities[region] * self.settings.borrow_ceiling - used
-        borrowed = self.own_by_region[region] - self.quota(region, now_s)
-        if not self.owned_since and borrowed == 0:
-            # An entry without any slot must be able to serve.
-            return room >= 1
-        borrowers = max(1, self.residents)
-        return room >= (borrowed + 1) * borrowers - borrowed
+        """Returns whether an entry may go beyond its part of a region."""
+        own = self.own_use(region)
+        used = self.others_in(region, now_s) + own
+        if used >= self.capacities[region]:
+            return False
+        if own == 0 and (region == self.region or not self.owned):
+            # An entry that has just started, or that owns no slot, must be
+            # able to serve one request at a time.
+            return True
+        limit = self.limit(region, now_s) + self.lending[region].borrowable(
+            now_s
+        )
+        return own < limit
 
     def take(self, upstream: str, region: str) -> "Hold":
         """Counts a request at an upstream until the hold is released."""
