Split the estimate from what it knows of steering

Change: where requests would go under one configuration moved to its own module. Conclusion: no change of behaviour.

--- a/src/guavapulley/programs/_estimate.py
+++ b/src/guavapulley/programs/_estimate.py
@@ -12,17 +12,11 @@
 import attrs
 
 from guavapulley import model
-from guavapulley import ports
 from guavapulley import selectors
-from guavapulley import steering
+from guavapulley.programs import _world
 
-# Request labels whose values are known without seeing a request.
-KNOWN_LABELS = ("service", "class", "region")
 # A region is reported when its estimated load passes this part of its limit.
 PRESSING_PART = 0.8
-# Shares below this are rounding errors.
-LEAST_SHARE = 1e-9
-DEFAULT_HEADROOM_PERCENT = 10.0
 BITS_PER_BYTE = 8
 BITS_PER_MBIT = 1e6
 MS_PER_S = 1e3
@@ -140,119 +134,6 @@
 Shares = dict[Cell, dict[str, float]]
 
 
-class _World:
-    """A configuration with the upstreams under it."""
-
-    def __init__(
-        self,
-        configuration: model.Configuration,
-        records: Sequence[model.UpstreamRecord],
-    ) -> None:
-        self.configuration = configuration
-        known = [ports.KnownUpstream(record, 0.0, 0.0) for record in records]
-        self.upstreams = list(steering.labelled(known, configuration))
-        self.services = configuration.services()
-
-    def matching(self, service: str, selector: str) -> list[steering.Labelled]:
-        """Returns the usable upstreams of a service under a selector."""
-        parsed = selectors.parse(selector)
-        return [
-            upstream
-            for upstream in self.upstreams
-            if upstream.usable
-            and upstream.known.record.service == service
-            and parsed.matches(upstream.labels)
-        ]
-
-    def regions(self) -> list[str]:
-        """Returns the regions that have upstreams."""
-        return sorted({upstream.region for upstream in self.upstreams})
-
-    def labels(self, service: str, region: str) -> dict[str, str]:
-        """Returns the labels that are known of every such request."""
-        found = {"service": service, "region": region}
-        if service in self.services:
-            found["class"] = self.services[service].traffic_class.value
-        return found
-
-    def shares(self, service: str, region: str) -> dict[str, float]:
-        """Returns the estimated share of requests by target region."""
-        found: dict[str, float] = {}
-        left = 1.0
-        for intent in self.configuration.intents():
-            labels = self.labels(service, region)
-            if matches_known(intent.requests, labels) is None:
-                continue
-            taken = left * intent.share_percent / 100
-            left -= taken
-            targets = self.matching(service, intent.upstreams)
-            _spread(found, taken, region, targets)
-        _spread(found, left, region, self.matching(service, ""))
-        return found
-
-    def capacity(self, service: str, region: str) -> int:
-        """Returns how many requests a region may run at a time."""
-        divisible = [
-            upstream
-            for upstream in self.matching(service, "")
-            if upstream.region == region
-        ]
-        slots = sum(upstream.known.record.slots for upstream in divisible)
-        limit = self.limit(region)
-        return min(slots, limit.max_in_flight or slots)
-
-    def limit(self, region: str) -> model.RegionLimit:
-        """Returns the limit of a region, or the default."""
-        found = (
-            item
-            for item in self.configuration.objects
-            if isinstance(item, model.RegionLimit) and item.name == region
-        )
-        default = model.RegionLimit(
-            region, headroom_percent=DEFAULT_HEADROOM_PERCENT
-        )
-        return next(found, default)
-
-
-def _spread(
-    found: dict[str, float],
-    share: float,
-    region: str,
-    targets: Sequence[steering.Labelled],
-) -> None:
-    """Adds a share to the nearest region, or by slots to the others."""
-    if share <= LEAST_SHARE or not targets:
-        return
-    near = [target for target in targets if target.region == region]
-    slots = sum(target.known.record.slots for target in near or targets)
-    for target in near or targets:
-        part = share * target.known.record.slots / max(slots, 1)
-        found[target.region] = found.get(target.region, 0.0) + part
-
-
-def matches_known(
-    selector: str, labels: Mapping[str, str]
-) -> tuple[str, ...] | None:
-    """Returns on which unknown labels a match depends; None for no match.
-
-    >>> matches_known("service = a, tier = gold", {"service": "a"})
-    ('tier',)
-
-    Args:
-        selector: Selector over request labels.
-        labels: The labels that are known.
-    """
-    unknown = []
-    for term in selectors.parse(selector).terms:
-        key = term.key
-        if key in KNOWN_LABELS:
-            if not term.matches(labels):
-                return None
-        else:
-            unknown.append(key)
-    return tuple(dict.fromkeys(unknown))
-
-
 def estimate(
     before: model.Configuration,
     after: model.Configuration,
@@ -267,7 +148,7 @@
         changed: Objects that the change puts or deletes.
         records: Announced upstreams with their load reports.
     """
-    old, new = _World(before, records), _World(after, records)
+    old, new = _world.World(before, records), _world.World(after, records)
     services = sorted({record.service for record in records})
     cells = [(s, r) for s in services for r in new.regions()]
     moves = tuple(_moves(old, new, cells))
@@ -293,7 +174,7 @@
 
 
 def _objects(
-    old: _World, new: _World, changed: Sequence[model.ObjectKey]
+    old: _world.World, new: _world.World, changed: Sequence[model.ObjectKey]
 ) -> Iterator[tuple[model.ObjectKey, model.ConfigurationObject]]:
     """Yields the changed objects; deleted ones as they were."""
     table = {
@@ -305,7 +186,7 @@
 
 
 def _matched_upstreams(
-    old: _World, new: _World, changed: Sequence[model.ObjectKey]
+    old: _world.World, new: _world.World, changed: Sequence[model.ObjectKey]
 ) -> Iterator[tuple[str, tuple[str, ...]]]:
     for key, item in _objects(old, new, changed):
         if isinstance(item, model.Intent | model.Drain | model.LabelOverride):
@@ -327,8 +208,8 @@
 
 
 def _matches(
-    old: _World,
-    new: _World,
+    old: _world.World,
+    new: _world.World,
     changed: Sequence[model.ObjectKey],
     cells: Sequence[Cell],
 ) -> Iterator[Match]:
@@ -337,12 +218,14 @@
             continue
         for service, region in cells:
             labels = new.labels(service, region)
-            depends_on = matches_known(item.requests, labels)
+            depends_on = _world.matches_known(item.requests, labels)
             if depends_on is not None:
                 yield Match(item.name, service, region, depends_on)
 
 
-def _moves(old: _World, new: _World, cells: Sequence[Cell]) -> Iterator[Move]:
+def _moves(
+    old: _world.World, new: _world.World, cells: Sequence[Cell]
+) -> Iterator[Move]:
     for service, region in cells:
         move = Move(
             service,
@@ -350,17 +233,19 @@
             old.shares(service, region),
             new.shares(service, region),
             any(
-                matches_known(intent.requests, world.labels(service, region))
+                _world.matches_known(
+                    intent.requests, world.labels(service, region)
+                )
                 for world in (old, new)
                 for intent in world.configuration.intents()
             ),
         )
-        if move.moved() > LEAST_SHARE:
+        if move.moved() > _world.LEAST_SHARE:
             yield move
 
 
 def _region_pressure(
-    new: _World,
+    new: _world.World,
     moves: Sequence[Move],
     busy: Mapping[Cell, float],
     cells: Sequence[Cell],
@@ -375,7 +260,7 @@
         )
         capacity = new.capacity(service, region)
         headroom = new.limit(region).headroom_percent / 100
-        gains = added > LEAST_SHARE
+        gains = added > _world.LEAST_SHARE
         if gains and before + added > PRESSING_PART * capacity:
             yield RegionPressure(
                 service,
@@ -388,7 +273,7 @@
 
 
 def _link_pressure(
-    new: _World, moves: Sequence[Move], busy: Mapping[Cell, float]
+    new: _world.World, moves: Sequence[Move], busy: Mapping[Cell, float]
 ) -> Iterator[LinkPressure]:
     caps = {
         item.name: item.mbit_per_s
@@ -407,7 +292,9 @@
                 size = service.expected_answer_bytes * BITS_PER_BYTE
                 added[link] = added.get(link, 0.0) + requests
                 bits[link] = bits.get(link, 0.0) + requests * size
-    for link in sorted(name for name, n in added.items() if n > LEAST_SHARE):
+    for link in sorted(
+        name for name, n in added.items() if n > _world.LEAST_SHARE
+    ):
         cap = caps.get(link)
         reached = None
         if cap is not None:
--- a/src/guavapulley/programs/_estimate_text.py
+++ b/src/guavapulley/programs/_estimate_text.py
@@ -6,6 +6,7 @@
 
 from guavapulley.programs import _estimate
 from guavapulley.programs import _tables
+from guavapulley.programs import _world
 
 MAX_NAMES = 8
 
@@ -76,7 +77,7 @@
     parts = (
         f"{region} {share * 100:.0f} %"
         for region, share in sorted(shares.items())
-        if share > _estimate.LEAST_SHARE
+        if share > _world.LEAST_SHARE
     )
     return ", ".join(parts) or "nowhere"
 
