Lend slots only when another entry lacks them

Retries each waited for the longest wait. Change: an entry lends only while an entry of its region claims more than it owns; the longest wait counts from the arrival.

--- a/src/guavapulley/steering/_lending.py
+++ b/src/guavapulley/steering/_lending.py
@@ -2,11 +2,11 @@
 
 Counts of requests in flight reach other entries up to 2 s late, so an entry
 that borrowed on them would overrun a region when the owner's load returns.
-Entries therefore gossip claims. An entry that needs few of its slots claims
-only half of them and keeps to that claim from the moment at which it says so.
-It takes them back by claiming them and waiting until every borrower has heard
-of it. An entry that lacks slots claims more than it owns; the slots that others
-do not claim are divided among such entries.
+Entries therefore gossip claims. An entry that lacks slots claims
+more than it owns. An entry that needs few of its slots then claims only half of
+them and keeps to that claim from the moment at which it says so. It takes them
+back by claiming them and waiting until every borrower has heard of it. The
+slots that are not claimed are divided among the entries that lack slots.
 """
 
 from collections.abc import Mapping
@@ -124,7 +124,11 @@
             claim.limit = max(claim.limit, min(own, claim.slots))
         if need > own and self.entry in self.residents:
             self._claim_more(own, mean_s, now_s)
-        elif highest <= own * LEND_BELOW and self._settled(now_s):
+        elif (
+            highest <= own * LEND_BELOW
+            and self._settled(now_s)
+            and self._is_wanted(now_s)
+        ):
             kept = math.ceil(own * KEPT_PART)
             claim.slots, claim.limit = kept, kept
             claim.wanting_since_s = math.inf
@@ -145,6 +149,14 @@
             wait_s = self.settings.hold_s + DRAIN_FACTOR * mean_s
             self.claim.full_at_s = now_s + wait_s
 
+    def _is_wanted(self, now_s: float) -> bool:
+        """Returns whether another entry of the region lacks slots."""
+        return any(
+            window.value(now_s) > self.quotas.get(name, 0)
+            for name, window in self.others.items()
+            if name in self.residents
+        )
+
     def _settled(self, now_s: float) -> bool:
         return now_s >= self.changed_at_s + self.settings.ownership_delay_s
 
--- a/src/guavapulley/steering/_placement.py
+++ b/src/guavapulley/steering/_placement.py
@@ -76,11 +76,13 @@
             if choice is not None:
                 return choice
         kind = work.state.service.traffic_class
-        longest_s = self.settings.max_wait_parts[kind] * limit_s
+        waited_s = trio.current_time() - work.arrived_s
+        # Counted from the arrival, so that retries do not wait again.
+        longest_s = self.settings.max_wait_parts[kind] * limit_s - waited_s
         self._refuse_early(work, lane.waiting, limit_s, longest_s)
         lane.waiting += 1
         try:
-            with trio.move_on_after(longest_s):
+            with trio.move_on_after(max(0.0, longest_s)):
                 return await self._turn(work, lane)
         finally:
             lane.waiting -= 1
--- a/tests/steering/test_links.py
+++ b/tests/steering/test_links.py
@@ -111,12 +111,11 @@
         stubs.record("far", "za", "za1"),
         stubs.record("other", "tn", "tn1"),
     ]
-    view = stubs.View(records)
-    steerer = stubs.make_steerer(view)
-    # An entry learns its slots before its first request and uses them 2 s later.
+    service = model.Service("s", model.TrafficClass.SHORT)
+    steerer = stubs.make_steerer(stubs.View(records, (service,)))
+    # New slots are used only 2 s after the entry has learnt of them.
     steerer.claims()
     await trio.sleep(3)
-    service = model.Service("s", model.TrafficClass.SHORT)
     for number in range(10):
         got = await steerer.run(stubs.request(number), service, attempt)
         assert got == "other"
