--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -382,6 +382,8 @@
         state: What it says of itself.
         revision: Configuration revision in force.
         in_flight: Its requests in flight by upstream.
+        suspected: Whether the sender of this copy suspects the entry; only
+            the entry itself acts on it, by raising its incarnation.
     """
 
     name: str
@@ -394,6 +396,7 @@
     state: EntryState
     revision: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
+    suspected: bool = False
 
 
 @attrs.frozen
