--- a/src/guavapulley/adapters/memory/_network.py
+++ b/src/guavapulley/adapters/memory/_network.py
@@ -1,4 +1,4 @@
-"""A network of peers inside one process, with delays and cuts."""
+"""Peer calls in memory, over links that delay and lose messages."""
 
 from collections.abc import Callable
 
@@ -11,89 +11,161 @@
 
 
 @attrs.define
+class _Exchange:
+    """A call on its way, with the reply once it is back."""
+
+    source: model.NodeAddress
+    target: model.NodeAddress
+    request: model.PeerMessage
+    done: trio.Event = attrs.field(factory=trio.Event)
+    reply: model.PeerMessage | None = None
+
+
+@attrs.frozen
+class _Server:
+    handler: ports.PeerHandler
+    nursery: trio.Nursery
+
+
 class MemoryNetwork:
-    """Delivers calls between handlers; a lost message is a call timeout.
+    """Carries calls between processes of one trio run.
+
+    Messages are delivered even when their caller no longer waits, so that
+    late ones meet later states.
+
+    Args:
+        delay_s: Returns the delay of the next message between two addresses.
 
     Attributes:
-        delay_s: One-way delay between two addresses, in seconds.
-        passes: Whether a message from one address reaches another; asked
-            once for the request and once for the reply.
-        handlers: Handlers by address; an absent one drops messages.
-        calls: Requests sent so far.
+        cuts: Ordered pairs of addresses whose messages are lost.
     """
 
-    delay_s: Callable[[model.NodeAddress, model.NodeAddress], float] = (
-        lambda source, target: 0.001
-    )
-    passes: Callable[[model.NodeAddress, model.NodeAddress], bool] = (
-        lambda source, target: True
-    )
-    handlers: dict[model.NodeAddress, ports.PeerHandler] = attrs.field(
-        factory=dict
-    )
-    calls: int = 0
+    def __init__(
+        self,
+        delay_s: Callable[[model.NodeAddress, model.NodeAddress], float],
+    ) -> None:
+        self.delay_s = delay_s
+        self.cuts: set[tuple[model.NodeAddress, model.NodeAddress]] = set()
+        self.servers: dict[model.NodeAddress, _Server] = {}
+        self.nursery: trio.Nursery | None = None
+        self.calls = 0
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Carries messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def serve(
+        self,
+        address: model.NodeAddress,
+        handler: ports.PeerHandler,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves calls to an address; cancelling it aborts them."""
+        async with trio.open_nursery() as nursery:
+            server = self.servers[address] = _Server(handler, nursery)
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                if self.servers.get(address) is server:
+                    del self.servers[address]
 
     def dialer(self, source: model.NodeAddress) -> "MemoryDialer":
-        """Returns the dialer of the process at an address."""
+        """Returns the dialer of the process with an address."""
         return MemoryDialer(self, source)
 
-    async def carry(
-        self, source: model.NodeAddress, target: model.NodeAddress
+    async def call(
+        self,
+        source: model.NodeAddress,
+        target: model.NodeAddress,
+        request: model.PeerMessage,
+        timeout_s: float,
+    ) -> model.PeerMessage:
+        """Calls a peer; see `ports.PeerClient`."""
+        assert self.nursery is not None
+        self.calls += 1
+        exchange = _Exchange(source, target, request)
+        self.nursery.start_soon(self._deliver, exchange)
+        with trio.move_on_after(timeout_s):
+            await exchange.done.wait()
+        if exchange.reply is None:
+            raise ports.PeerError(
+                ports.CALL_TIMEOUT, f"{target} did not answer"
+            )
+        if isinstance(exchange.reply, model.ErrorReply):
+            reply = exchange.reply
+            raise ports.PeerRefusedError(
+                reply.code, reply.message, **reply.details
+            )
+        return exchange.reply
+
+    async def _deliver(self, exchange: _Exchange) -> None:
+        await trio.sleep(self.delay_s(exchange.source, exchange.target))
+        server = self.servers.get(exchange.target)
+        if server and (exchange.source, exchange.target) not in self.cuts:
+            server.nursery.start_soon(self._handle, exchange, server.handler)
+
+    async def _handle(
+        self, exchange: _Exchange, handler: ports.PeerHandler
+    ) -> None:
+        try:
+            reply = await handler.handle(exchange.request)
+        except errors.GuavapulleyError as error:
+            details = {key: str(item) for key, item in error.details.items()}
+            reply = model.ErrorReply(error.code, error.message, details)
+        assert self.nursery is not None
+        self.nursery.start_soon(self._answer, exchange, reply)
+
+    async def _answer(
+        self, exchange: _Exchange, reply: model.PeerMessage
     ) -> None:
-        """Waits until a message has arrived; a lost one never does."""
-        await trio.sleep(self.delay_s(source, target))
-        if not self.passes(source, target):
-            await trio.sleep_forever()
+        await trio.sleep(self.delay_s(exchange.target, exchange.source))
+        if (exchange.target, exchange.source) not in self.cuts:
+            exchange.reply = reply
+            exchange.done.set()
 
 
-@attrs.frozen
 class MemoryDialer:
     """Makes clients of one process."""
 
-    network: MemoryNetwork
-    source: model.NodeAddress
+    def __init__(
+        self, network: MemoryNetwork, source: model.NodeAddress
+    ) -> None:
+        self.network = network
+        self.source = source
 
     def dial(self, address: model.NodeAddress) -> "MemoryClient":
-        """Returns a client for an address."""
+        """Returns a client of an address."""
         return MemoryClient(self.network, self.source, address)
 
 
-@attrs.frozen
 class MemoryClient:
-    """Calls one peer."""
+    """Calls one address."""
 
-    network: MemoryNetwork
-    source: model.NodeAddress
-    target: model.NodeAddress
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        source: model.NodeAddress,
+        target: model.NodeAddress,
+    ) -> None:
+        self.network = network
+        self.source = source
+        self.target = target
 
     async def call(
         self, request: model.PeerMessage, timeout_s: float
     ) -> model.PeerMessage:
-        """Sends a request and returns the reply; see `ports.PeerClient`."""
-        self.network.calls += 1
-        try:
-            with trio.fail_after(timeout_s):
-                return await self._exchange(request)
-        except trio.TooSlowError as error:
-            raise ports.PeerError(
-                ports.CALL_TIMEOUT, f"{self.target} did not answer"
-            ) from error
-
-    async def _exchange(self, request: model.PeerMessage) -> model.PeerMessage:
-        await self.network.carry(self.source, self.target)
-        handler = self.network.handlers.get(self.target)
-        if handler is None:
-            await trio.sleep_forever()
-        try:
-            reply = await handler.handle(request)
-        except errors.GuavapulleyError as error:
-            await self.network.carry(self.target, self.source)
-            details = {key: str(value) for key, value in error.details.items()}
-            raise ports.PeerRefusedError(
-                error.code, error.message, **details
-            ) from error
-        await self.network.carry(self.target, self.source)
-        return reply
+        """See `ports.PeerClient`."""
+        return await self.network.call(
+            self.source, self.target, request, timeout_s
+        )
 
     async def aclose(self) -> None:
-        """Does nothing; there is no connection."""
+        """Nothing is open."""
+        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/src/guavapulley/steering/_slots.py
@@ -0,0 +1,329 @@
+"""Slots of the upstreams of one service, as one entry may use them."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+
+import attrs
+
+from guavapulley import model
+from guavapulley.steering import _catalog
+from guavapulley.steering import _division
+from guavapulley.steering import _lending
+from guavapulley.steering import _settings
+from guavapulley.steering import _windows
+
+# Regions with fewer slots have none to spare for other work.
+SLOTS_PER_FREE_SLOT = 4
+
+
+class Use(enum.StrEnum):
+    """How a request uses an upstream.
+
+    `OWNED` uses a slot that belongs to this entry. `SHARED` uses a slot of
+    another entry while the entry has fewer requests in the region than it owns
+    slots there, such as when its own ones are in probation; the region cannot
+    be overrun by it. `BORROWED` goes beyond the own part of the region.
+    """
+
+    OWNED = "owned"
+    SHARED = "shared"
+    BORROWED = "borrowed"
+
+
+class SlotBook:
+    """Who uses which slots of a service.
+
+    An entry may use the slots that it owns by the division and those that
+    others lend to it.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        entry: str,
+        region: str,
+        settings: _settings.SteeringSettings,
+    ) -> None:
+        self.service = service
+        self.entry = entry
+        self.region = region
+        self.settings = settings
+        self.own: collections.Counter[str] = collections.Counter()
+        self.own_by_region: collections.Counter[str] = collections.Counter()
+        self.others: dict[str, _windows.PeakWindow] = {}
+        self.others_by_region: dict[str, _windows.PeakWindow] = {}
+        self.owned: collections.Counter[str] = collections.Counter()
+        self.quotas: dict[str, _windows.PeakWindow] = {}
+        self.stretches: collections.defaultdict[str, float] = (
+            collections.defaultdict(lambda: 1.0)
+        )
+        self.slots: dict[str, int] = {}
+        self.capacities: dict[str, int] = {}
+        self.headroom: dict[str, float] = {}
+        self.lending: dict[str, _lending.Lending] = {}
+
+    def divide(
+        self,
+        divisible: Sequence[_division.Divisible],
+        entries: Sequence[model.EntryRecord],
+        limits: dict[str, model.RegionLimit],
+        traffic_class: model.TrafficClass,
+        mean_s: float,
+        now_s: float,
+    ) -> None:
+        """Divides the slots anew after a change of upstreams or entries.
+
+        Args:
+            divisible: Upstreams and the slots that they offer now.
+            entries: Live entries.
+            limits: Limits of regions by name.
+            traffic_class: Class of the service.
+            mean_s: Mean time of a request; slots that change hands are used
+                only after their last requests have ended.
+            now_s: Now.
+        """
+        settle_s = self.settings.ownership_delay_s
+        settle_s += _lending.DRAIN_FACTOR * mean_s
+        self.slots = {u.upstream: u.slots for u in divisible}
+        self.capacities = _catalog.capacities(divisible, limits)
+        self.headroom = {
+            region: (
+                limits[region].headroom_percent
+                if region in limits
+                else _catalog.DEFAULT_HEADROOM_PERCENT
+            )
+            for region in self.capacities
+        }
+        shared = dict(self.capacities)
+        if traffic_class is model.TrafficClass.BULK:
+            for region, slots in shared.items():
+                if slots > SLOTS_PER_FREE_SLOT * self.settings.bulk_free_slots:
+                    shared[region] = slots - self.settings.bulk_free_slots
+        claimants = {e.name: e.region for e in entries}
+        claimants[self.entry] = self.region
+        everyone = _division.divide(
+            divisible,
+            [_division.Claimant(e, r) for e, r in claimants.items()],
+            shared,
+        )
+        regions = {u.upstream: u.region for u in divisible}
+        self.owned = collections.Counter(
+            slot.upstream for slot in everyone[self.entry]
+        )
+        for region in {*self.capacities, *self.lending}:
+            self._divide_region(region, everyone, claimants, regions, now_s)
+            self.quotas[region].span_s = settle_s
+
+    def _divide_region(
+        self,
+        region: str,
+        everyone: Mapping[str, Sequence[_division.SlotId]],
+        claimants: Mapping[str, str],
+        regions: Mapping[str, str],
+        now_s: float,
+    ) -> None:
+        if region not in self.lending:
+            self.lending[region] = _lending.Lending(self.entry, self.settings)
+            # The window holds the negative quota, so that its highest value
+            # is the lowest quota. It starts with none.
+            self.quotas[region] = _windows.PeakWindow(
+                self.settings.ownership_delay_s
+            )
+            self.quotas[region].add(now_s, 0)
+        quotas = {
+            entry: sum(regions[s.upstream] == region for s in slots)
+            for entry, slots in everyone.items()
+        }
+        self.quotas[region].add(now_s, -quotas[self.entry])
+        self.lending[region].divide(
+            quotas,
+            {entry for entry, home in claimants.items() if home == region},
+            now_s,
+        )
+
+    def update_claims(self, waiting: int, mean_s: float, now_s: float) -> None:
+        """Adapts the own claims.
+
+        Args:
+            waiting: Requests that wait in the entry.
+            mean_s: Mean time of a request.
+            now_s: Now.
+        """
+        for region, lending in self.lending.items():
+            need = self.own_use(region)
+            if region == self.region:
+                need += waiting
+            lending.update(need, mean_s, now_s)
+
+    def claims(self) -> dict[str, int]:
+        """Returns the claimed slots by region."""
+        return {r: lent.claim.slots for r, lent in self.lending.items()}
+
+    def count_others(
+        self,
+        upstreams: Sequence[_catalog.Labelled],
+        entries: Sequence[model.EntryRecord],
+        now_s: float,
+    ) -> None:
+        """Takes over the counts that other entries gossip."""
+        for region, lending in self.lending.items():
+            lending.hear(entries, f"{self.service}/{region}", now_s)
+        others = [e for e in entries if e.name != self.entry]
+        sums: collections.defaultdict[str, float] = collections.defaultdict(
+            float
+        )
+        for upstream in upstreams:
+            region = upstream.region
+            stretch = self.stretches[region]
+            count = sum(
+                e.in_flight.get(upstream.name, 0)
+                / (1.0 if e.region == region else stretch)
+                for e in others
+            )
+            sums[region] += count
+            self._window(self.others, upstream.name).add(now_s, count)
+        for region, count in sums.items():
+            self._window(self.others_by_region, region).add(now_s, count)
+
+    def _window(
+        self, table: dict[str, _windows.PeakWindow], key: str
+    ) -> _windows.PeakWindow:
+        if key not in table:
+            table[key] = _windows.PeakWindow(self.settings.hold_s)
+        return table[key]
+
+    def others_at(self, upstream: str, now_s: float) -> float:
+        """Returns the requests of other entries at an upstream."""
+        window = self.others.get(upstream)
+        return window.value(now_s) if window else 0
+
+    def others_latest(self, upstream: str) -> float:
+        """Returns the newest count of other entries at an upstream."""
+        window = self.others.get(upstream)
+        return window.samples[-1][1] if window else 0
+
+    def others_in(self, region: str, now_s: float) -> float:
+        """Returns the requests of other entries in a region."""
+        window = self.others_by_region.get(region)
+        return window.value(now_s) if window else 0
+
+    def limit(self, region: str, now_s: float) -> int:
+        """Returns the own slots of a region that may be used now.
+
+        After a new division the lowest quota of the last time counts, because
+        the previous owner of a slot may not know of the division yet.
+        """
+        lowest = -self.quotas[region].value(now_s)
+        return int(min(lowest, self.lending[region].claim.limit))
+
+    def stretch(self, region: str) -> float:
+        """Returns how many requests may be in flight for each slot.
+
+        A request from another region spends most of its time on the way and
+        takes its slot only for a part of it.
+        """
+        return 1.0 if region == self.region else self.stretches[region]
+
+    def own_use(self, region: str) -> float:
+        """Returns the slots of a region that the own requests take."""
+        return self.own_by_region[region] / self.stretch(region)
+
+    def use_of(
+        self,
+        upstream: _catalog.Labelled,
+        traffic_class: model.TrafficClass,
+        now_s: float,
+    ) -> Use | None:
+        """Returns how a request may use an upstream, or None for not now."""
+        name, region = upstream.name, upstream.region
+        bulk = traffic_class is model.TrafficClass.BULK
+        if bulk and not self._has_room(region, now_s):
+            return None
+        stretch = self.stretch(region)
+        own_here = self.own[name] / stretch
+        own = self.own_use(region)
+        within = own + 1 / stretch <= self.limit(region, now_s)
+        if within and own_here < self.owned[name]:
+            return Use.OWNED
+        spared = 1 if bulk else 0
+        slots = self.slots.get(name, 0) - spared
+        if own_here + self.others_latest(name) >= slots:
+            return None
+        if within:
+            return Use.SHARED
+        full = own_here + self.others_at(name, now_s) >= slots
+        if full or not self._may_borrow(region, now_s):
+            return None
+        return Use.BORROWED
+
+    def load(self, region: str, now_s: float) -> float:
+        """Returns the part of the slots of a region known to be in use."""
+        slots = self.capacities.get(region, 0)
+        used = self.others_in(region, now_s) + self.own_use(region)
+        return used / slots if slots else 1.0
+
+    def has_headroom(self, region: str, now_s: float) -> bool:
+        """Returns whether a request from outside may enter a region."""
+        slots = self.capacities.get(region, 0)
+        used = self.others_in(region, now_s) + self.own_use(region)
+        return used + 1 <= slots * (1 - self.headroom.get(region, 0.0) / 100)
+
+    def _has_room(self, region: str, now_s: float) -> bool:
+        """Returns whether a region is known to have a free slot.
+
+        Long requests can outlast the time in which slots change hands.
+        """
+        used = self.others_in(region, now_s) + self.own_use(region)
+        return used + 1 <= self.capacities[region]
+
+    def _may_borrow(self, region: str, now_s: float) -> bool:
+        """Returns whether an entry may go beyond its part of a region."""
+        own = self.own_use(region)
+        if not self._has_room(region, now_s):
+            return False
+        if own == 0 and (region == self.region or not self.owned):
+            # An entry that has just started, or that owns no slot, must be
+            # able to serve one request at a time.
+            return True
+        limit = self.limit(region, now_s) + self.lending[region].borrowable(
+            now_s
+        )
+        return own < limit
+
+    def take(self, upstream: str, region: str) -> "Hold":
+        """Counts a request at an upstream until the hold is released."""
+        self.own[upstream] += 1
+        self.own_by_region[region] += 1
+        return Hold(self, upstream, region)
+
+    def in_flight(self) -> Mapping[str, int]:
+        """Returns the own requests by upstream."""
+        return {name: count for name, count in self.own.items() if count > 0}
+
+
+@attrs.define
+class Hold:
+    """A slot in use by a request; a context manager that gives it back.
+
+    Attributes:
+        book: Book that counts it.
+        upstream: Upstream of the slot.
+        region: Region of the upstream.
+        on_release: Called after the slot was given back.
+    """
+
+    book: SlotBook
+    upstream: str
+    region: str
+    on_release: Callable[[], None] = lambda: None
+
+    def __enter__(self) -> "Hold":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.book.own[self.upstream] -= 1
+        self.book.own_by_region[self.region] -= 1
+        self.on_release()
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+import trio
 
 from guavapulley import membership
 from guavapulley import model
@@ -46,11 +47,9 @@
 
     def __init__(self, nursery, count, seed):
         print(f"seed {seed}")  # shown by pytest when a test fails
-        self.cut = set()
         self.nursery = nursery
-        self.network = memory.MemoryNetwork(
-            delay_s=lambda source, target: 0.035, passes=self.passes
-        )
+        self.network = memory.MemoryNetwork(lambda source, target: 0.035)
+        nursery.start_soon(self.network.run)
         self.seeds = [entry(index).peer_address for index in range(2)]
         self.rng = random.Random(seed)
         self.registries = {}
@@ -66,16 +65,23 @@
             self.seeds,
             random.Random(self.rng.random()),
         )
-        self.network.handlers[own.peer_address] = gossiper
         self.registries[own.name] = registry
         self.gossipers[own.name] = gossiper
-        self.nursery.start_soon(gossiper.run)
+        self.nursery.start_soon(self.network.serve, own.peer_address, gossiper)
+        self.nursery.start_soon(self.run_connected, gossiper)
 
-    def passes(self, source, target):
-        return (source in self.cut) == (target in self.cut)
+    async def run_connected(self, gossiper):
+        await trio.sleep(0.01)  # after the network has been started
+        await gossiper.run()
 
     def isolate(self, names):
-        self.cut = {self.registries[n].own.peer_address for n in names}
+        addresses = {n: r.own.peer_address for n, r in self.registries.items()}
+        self.network.cuts = {
+            (addresses[a], addresses[b])
+            for a in addresses
+            for b in addresses
+            if (a in names) != (b in names)
+        }
 
     def live(self, observer):
         return {e.name for e in self.registries[observer].live_entries()}
