Pass the time left to steering and gossip the claims of slots

Cause: steering counted the deadline of a once request from after its claim, and its claims of slots were not gossiped. Change: steering gets the time that is left; presence copies the claims. Conclusion: membership has to take the claims as well.

--- a/src/guavapulley/serving/_attempts.py
+++ b/src/guavapulley/serving/_attempts.py
@@ -4,6 +4,7 @@
 import contextlib
 from typing import Any
 
+import attrs
 import trio
 
 from guavapulley import errors
@@ -88,6 +89,10 @@
         """Whether no byte of the request can have reached an upstream."""
         return not self.uncertain
 
+    def steered(self) -> model.SteeredRequest:
+        """Returns the request with the time that is left, for steering."""
+        return attrs.evolve(self.request, deadline_s=self._left_s())
+
     async def whole(self, record: model.UpstreamRecord) -> model.Answer:
         """Returns the whole answer of an upstream.
 
@@ -162,14 +167,13 @@
     async def _open(self, record: model.UpstreamRecord) -> ports.UpstreamAnswer:
         sent = HEAD_BYTES + len(self.request.body)
         out = await self._reserve(self.dispatcher.region, record.region, sent)
-        left_s = max(0.0, self.ends_at_s - trio.current_time())
         # Counted before the send, because a cancelled one may have run.
         self.uncertain += 1
         try:
             return await self.dispatcher.client.send(
                 record,
                 self.request,
-                timeout_s=left_s,
+                timeout_s=self._left_s(),
                 new_connection=self.new_connection,
             )
         except ports.UpstreamError as error:
@@ -196,6 +200,9 @@
         if links is not None and record.region != region:
             await links.pace(record.region, region, size, bulk=True)
 
+    def _left_s(self) -> float:
+        return max(0.0, self.ends_at_s - trio.current_time())
+
     def _note(self, record: model.UpstreamRecord, succeeded: bool) -> None:
         self.dispatcher.registry.note_dispatch(record.upstream, succeeded)
 
--- a/src/guavapulley/serving/_once.py
+++ b/src/guavapulley/serving/_once.py
@@ -79,7 +79,7 @@
             request, service, new_connection=True
         )
         if request.idempotency_key is None:
-            return await self._dispatch(request, service, attempts)
+            return await self._dispatch(service, attempts)
         created_s = _keys.check_key(request, self.unix_time())
         # Two requests with equal IDs must not share a claim, so the claim has
         # an ID of its own; the control replicas grant a repeated one again.
@@ -93,7 +93,7 @@
         stored = await self._claim(claim, attempts.ends_at_s)
         if stored is not None:
             return stored
-        return await self._dispatch_claimed(request, service, attempts, claim)
+        return await self._dispatch_claimed(service, attempts, claim)
 
     async def outcome(self, service: str, key: str) -> model.StoredOutcome:
         """Returns the outcome of a key by a majority read.
@@ -157,13 +157,12 @@
 
     async def _dispatch_claimed(
         self,
-        request: model.SteeredRequest,
         service: model.Service,
         attempts: _attempts.Attempts,
         claim: model.ClaimKey,
     ) -> model.Answer:
         try:
-            answer = await self._dispatch(request, service, attempts)
+            answer = await self._dispatch(service, attempts)
         except BaseException as error:
             if attempts.not_run:
                 await self._release(claim)
@@ -182,13 +181,12 @@
 
     async def _dispatch(
         self,
-        request: model.SteeredRequest,
         service: model.Service,
         attempts: _attempts.Attempts,
     ) -> model.Answer:
         attempt = functools.partial(_single_attempt, attempts)
         with _attempts.within_deadline(attempts):
-            return await self.steerer.run(request, service, attempt)
+            return await self.steerer.run(attempts.steered(), service, attempt)
 
     async def _record(
         self,
--- a/src/guavapulley/serving/_presence.py
+++ b/src/guavapulley/serving/_presence.py
@@ -21,11 +21,12 @@
     steerer: _protocols.Steerer,
     member: _protocols.Member,
 ) -> None:
-    """Copies state, revision and counts to the gossiped record.
+    """Copies state, revision, counts and claims to the gossiped record.
 
     It is cancelled when the entry begins to leave.
     """
     while True:
         member.set_state(_STATES[follower.state()])
-        member.set_status(follower.configuration.revision, steerer.in_flight())
+        revision = follower.configuration.revision
+        member.set_status(revision, steerer.in_flight(), steerer.claims())
         await trio.sleep(PRESENCE_INTERVAL_S)
--- a/src/guavapulley/serving/_protocols.py
+++ b/src/guavapulley/serving/_protocols.py
@@ -35,6 +35,9 @@
     def in_flight(self) -> dict[str, int]:
         """Returns the own requests in flight by upstream."""
 
+    def claims(self) -> dict[str, int]:
+        """Returns the claimed slots by `SERVICE/REGION`."""
+
 
 class Links(Protocol):
     """Shares of the links between regions."""
@@ -97,8 +100,13 @@
     def set_state(self, state: model.EntryState) -> None:
         """Changes the state; `LEAVING` is notified at once."""
 
-    def set_status(self, revision: int, in_flight: dict[str, int]) -> None:
-        """Changes the revision and the in-flight counts to gossip."""
+    def set_status(
+        self,
+        revision: int,
+        in_flight: dict[str, int],
+        claims: dict[str, int],
+    ) -> None:
+        """Changes the revision, counts and claims to gossip."""
 
 
 class StoppableServer(Protocol):
--- a/src/guavapulley/serving/_requests.py
+++ b/src/guavapulley/serving/_requests.py
@@ -100,7 +100,9 @@
     ) -> model.Answer:
         attempts = self.dispatcher.attempts(request, service)
         with _attempts.within_deadline(attempts):
-            return await self.steerer.run(request, service, attempts.whole)
+            return await self.steerer.run(
+                attempts.steered(), service, attempts.whole
+            )
 
     async def _stream(
         self,
@@ -111,7 +113,7 @@
         attempts = self.dispatcher.attempts(request, service)
         attempt = functools.partial(attempts.streamed, reply=reply)
         with _attempts.within_deadline(attempts):
-            cut = await self.steerer.run(request, service, attempt)
+            cut = await self.steerer.run(attempts.steered(), service, attempt)
             if cut is not None:
                 raise cut
 
--- a/tests/adapters/http/test_entry_frontend.py
+++ b/tests/adapters/http/test_entry_frontend.py
@@ -83,6 +83,9 @@
     def in_flight(self):
         return {}
 
+    def claims(self):
+        return {}
+
 
 class Control:
     """Confirms one configuration and grants every claim."""
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -197,6 +197,9 @@
     def in_flight(self):
         return {}
 
+    def claims(self):
+        return {}
+
 
 class Registry:
     def __init__(self):
--- a/tests/serving/test_presence.py
+++ b/tests/serving/test_presence.py
@@ -17,14 +17,17 @@
     def set_state(self, state):
         self.state = state
 
-    def set_status(self, revision, in_flight):
-        self.status = (revision, in_flight)
+    def set_status(self, revision, in_flight, claims):
+        self.status = (revision, in_flight, claims)
 
 
 class Steerer:
     def in_flight(self):
         return {"u1": 2}
 
+    def claims(self):
+        return {"stock/pb": 3}
+
 
 async def test_state_revision_and_counts_are_gossiped(memory, autojump_clock):
     source, member = memory.Source(), Member()
@@ -38,7 +41,7 @@
         nursery.start_soon(follower.run)
         await trio.sleep(1)
         assert member.state is STATE.ALIVE
-        assert member.status == (5, {"u1": 2})
+        assert member.status == (5, {"u1": 2}, {"stock/pb": 3})
         follower.confirmed_at_s = -100.0
         await trio.sleep(0.2)
         assert member.state is STATE.DETACHED
