--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -213,6 +213,8 @@
         await idle.receive_some()
         await waiting.send_all(get("/wait"))
         await handler.entered.wait()
+        # Without this the reply below can be sent before the stop begins.
+        server.ask_to_close()
         nursery.start_soon(server.stop)
         await kept.send_all(get("/").replace(b"Connection: close\r\n", b""))
         late = await receive_all(kept)
