--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -425,6 +425,8 @@
         revision: Configuration revision in force.
         in_flight: Its requests in flight by upstream.
         claims: Slots that it claims, by `SERVICE/REGION`; see steering.
+        suspected: Whether the sender of this copy suspects the entry; only
+            the entry itself acts on it, by raising its incarnation.
     """
 
     name: str
@@ -438,6 +440,7 @@
     revision: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
     claims: dict[str, int] = attrs.field(factory=dict)
+    suspected: bool = False
 
 
 @attrs.frozen
