--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,5 +1,6 @@
 """Guards against examples that the program does not take."""
 
+import configparser
 import pathlib
 
 import pytest
@@ -25,3 +26,14 @@
     text = (EXAMPLES / deployment / f"{role}.ini").read_text()
     found = settings.parse_process_settings(text, role, "x.ini", tmp_path)
     assert found.statsd is not None
+
+
+def test_reference_names_every_key():
+    page = (EXAMPLES.parent / "docs" / "settings.md").read_text()
+    for deployment in DEPLOYMENTS:
+        for path in (EXAMPLES / deployment).iterdir():
+            parser = configparser.ConfigParser(delimiters="=")
+            parser.read(path)
+            for section in parser.sections():
+                for key in parser[section]:
+                    assert f"`{key}`" in page, (path, key)
