--- a/src/guavapulley/programs/_process.py
+++ b/src/guavapulley/programs/_process.py
@@ -1,99 +1,94 @@
-"""What every long-running process has: log, metrics, signals, a stop."""
+"""What the long-running roles share."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import signal
 
 import attrs
 import trio
 
+from guavapulley import control
 from guavapulley import errors
 from guavapulley import ports
+from guavapulley.adapters import codec
 from guavapulley.adapters import logs
 from guavapulley.adapters import metrics
 from guavapulley.adapters import nng
-from guavapulley.adapters import settings as settings_adapter
-from guavapulley.programs import _groups
+from guavapulley.adapters import settings
 
 
 @attrs.frozen
-class Process:
-    """What a process gives to its role.
+class ProcessContext:
+    """Adapters of one process.
 
     Attributes:
         settings: Its settings.
-        events: Event log.
-        metrics: Metrics.
-        clock: Lamport clock of the process.
-        stopping: Set by the first signal; the role then ends in good order.
+        clock: Its Lamport clock.
+        events: Its event log.
+        metrics: Its metrics.
+        messages: Codec of messages and log commands.
+        envelopes: Codec of peer messages.
+        dialer: Makes clients of peers.
     """
 
-    settings: settings_adapter.ProcessSettings
-    events: ports.EventLog
-    metrics: ports.Metrics
+    settings: settings.ProcessSettings
     clock: nng.LamportClock
-    stopping: trio.Event
-
-
-Role = Callable[[Process], Awaitable[None]]
-
+    events: logs.EliotEventLog
+    metrics: ports.Metrics
+    messages: codec.MessageCodec
+    envelopes: codec.EnvelopeCodec
+    dialer: nng.NngDialer
 
-def run(settings: settings_adapter.ProcessSettings, role: Role) -> None:
-    """Runs a role until it ends.
 
-    SIGTERM and SIGINT ask it to stop in good order; the second signal ends it
-    at once.
+@contextlib.contextmanager
+def process_context(
+    loaded: settings.ProcessSettings,
+) -> Iterator[ProcessContext]:
+    """Opens the adapters of a process and closes its log at the end.
 
-    Args:
-        settings: Settings of the process.
-        role: Runs until `Process.stopping` is set and its work is done.
+    An error that ends the process is logged with its code.
 
     Raises:
-        GuavapulleyError: The role failed; the error has been logged.
+        LogError: The log file cannot be opened.
     """
     clock = nng.LamportClock()
     events = logs.EliotEventLog(
-        settings.log_file,
-        settings.node,
-        settings.role.value,
+        loaded.log_file, loaded.node, loaded.role, clock, loaded.secrets()
+    )
+    messages = codec.MessageCodec(control.CODEC_TYPES)
+    envelopes = codec.EnvelopeCodec(messages, loaded.cluster_key)
+    context = ProcessContext(
+        loaded,
         clock,
-        settings.secrets(),
+        events,
+        _metrics(loaded),
+        messages,
+        envelopes,
+        nng.NngDialer(envelopes, loaded.node, clock, loaded.peer.host),
     )
-    sender: ports.Metrics = ports.NullMetrics()
-    if settings.statsd is not None:
-        sender = metrics.StatsdMetrics(
-            settings.statsd, settings.node, settings.role.value
-        )
-    process = Process(settings, events, sender, clock, trio.Event())
+    events.write("process:started")
     try:
-        with _groups.single_error():
-            trio.run(_run, process, role)
+        yield context
     except errors.GuavapulleyError as error:
         events.write("process:failed", code=error.code, reason=error.message)
         raise
+    except Exception as error:
+        events.write("process:failed", reason=repr(error))
+        raise
     finally:
         events.write("process:ended")
         events.close()
 
 
-async def _run(process: Process, role: Role) -> None:
-    async with trio.open_nursery() as nursery:
-        await nursery.start(_watch_signals, process, nursery.cancel_scope)
-        process.events.write("process:started")
-        await role(process)
-        nursery.cancel_scope.cancel()
+def _metrics(loaded: settings.ProcessSettings) -> ports.Metrics:
+    if loaded.statsd is None:
+        return ports.NullMetrics()
+    return metrics.StatsdMetrics(loaded.statsd, loaded.node, loaded.role)
 
 
-async def _watch_signals(
-    process: Process,
-    scope: trio.CancelScope,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
+async def wait_for_signal() -> int:
+    """Waits for a request to stop and returns the number of its signal."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        task_status.started()
         async for number in received:
-            name = signal.Signals(number).name
-            process.events.write("process:signal", signal=name)
-            if process.stopping.is_set():
-                scope.cancel()
-            process.stopping.set()
+            return int(number)
+    raise AssertionError("the signal receiver ended")
