--- a/src/guavapulley/programs/_process.py
+++ b/src/guavapulley/programs/_process.py
@@ -8,6 +8,7 @@
 import trio
 
 from guavapulley import control
+from guavapulley import errors
 from guavapulley import ports
 from guavapulley.adapters import codec
 from guavapulley.adapters import logs
@@ -45,6 +46,8 @@
 ) -> Iterator[ProcessContext]:
     """Opens the adapters of a process and closes its log at the end.
 
+    An error that ends the process is logged with its code.
+
     Raises:
         LogError: The log file cannot be opened.
     """
@@ -63,9 +66,17 @@
         envelopes,
         nng.NngDialer(envelopes, loaded.node, clock, loaded.peer.host),
     )
+    events.write("process:started")
     try:
         yield context
+    except errors.GuavapulleyError as error:
+        events.write("process:failed", code=error.code, reason=error.message)
+        raise
+    except Exception as error:
+        events.write("process:failed", reason=repr(error))
+        raise
     finally:
+        events.write("process:ended")
         events.close()
 
 
