Fix two stalls that random fault schedules found

Cause: random schedules of crashes, cuts, delays, lost and failing disks found two faults. Entries that overtook their predecessor were refused and never sent again when the predecessor was acknowledged before the refusal arrived. And a learner that had been made a voter, but had not yet received that entry when the leader crashed, refused its vote for ever, so that the others stayed short of a majority of the larger set.

--- a/src/guavapulley/adapters/memory/_network.py
+++ b/src/guavapulley/adapters/memory/_network.py
@@ -58,7 +58,10 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self.nursery = None
 
     async def serve(
         self,
@@ -88,7 +91,10 @@
         timeout_s: float,
     ) -> model.PeerMessage:
         """Calls a peer; see `ports.PeerClient`."""
-        assert self.nursery is not None
+        if self.nursery is None:
+            raise ports.PeerError(
+                ports.PEER_UNREACHABLE, "the network does not run"
+            )
         self.calls += 1
         exchange = _Exchange(source, target, request)
         self.nursery.start_soon(self._deliver, exchange)
@@ -119,8 +125,8 @@
         except errors.GuavapulleyError as error:
             details = {key: str(item) for key, item in error.details.items()}
             reply = model.ErrorReply(error.code, error.message, details)
-        assert self.nursery is not None
-        self.nursery.start_soon(self._answer, exchange, reply)
+        if self.nursery is not None:
+            self.nursery.start_soon(self._answer, exchange, reply)
 
     async def _answer(
         self, exchange: _Exchange, reply: model.PeerMessage
--- a/src/guavapulley/consensus/_follower.py
+++ b/src/guavapulley/consensus/_follower.py
@@ -34,15 +34,19 @@
         """Gives or refuses a vote; a given one is durable before the reply.
 
         A replica that hears from a leader refuses without taking over the
-        term, so that a returning replica disturbs nobody. A learner refuses
-        always: its log may lack committed entries.
+        term, so that a returning replica disturbs nobody. An empty disk gives
+        no vote. A learner does: a candidate asks only replicas that its log
+        makes voters, and the leader that made this one a voter saw that it
+        had caught up. The learner itself may not have received that entry, and
+        without its vote the loss of the leader at this moment would leave
+        the others short of a majority for ever.
 
         Raises:
             ConsensusError: The message is not for this replica.
         """
         state = self.state
         state.check_addressee(request.cluster_id, request.target)
-        if self._hears_leader() or not state.is_voter():
+        if self._hears_leader() or not state.log.last_index:
             return model.RequestVoteReply(state.term, False)
         if request.pre_vote:
             granted = request.term > state.term and self._up_to_date(request)
--- a/src/guavapulley/consensus/_leader.py
+++ b/src/guavapulley/consensus/_leader.py
@@ -50,10 +50,12 @@
                     for member in state.log.replicas.members
                     if member.replica_id != leading.own_id
                 }
-                for removed in running.keys() - members.keys():
+                for removed in [
+                    item for item in running if item not in members
+                ]:
                     running.pop(removed).cancel()
                     leading.progress.pop(removed, None)
-                for added in members.keys() - running.keys():
+                for added in [item for item in members if item not in running]:
                     running[added] = trio.CancelScope()
                     nursery.start_soon(
                         self._replicate_to,
--- a/src/guavapulley/consensus/_replication.py
+++ b/src/guavapulley/consensus/_replication.py
@@ -166,6 +166,7 @@
             progress.in_flight -= bool(message.entries)
             self.leading.work.notify()
         if not isinstance(reply, model.AppendEntriesReply):
+            progress.restart(progress.match_index + 1)
             return
         if reply.term > self.leading.term:
             await self.state.adopt_term(reply.term)
@@ -174,7 +175,11 @@
         if reply.success:
             progress.matched(reply.match_index)
             self.state.advance_commit()
-        elif message.previous_index > progress.match_index:
+        elif (
+            message.previous_index + len(message.entries) > progress.match_index
+        ):
+            # Also when the predecessor has been acknowledged meanwhile: the
+            # peer refused entries that overtook it and does not hold them.
             progress.restart(min(reply.hint_index, message.previous_index))
             progress.probe_due = True
 
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -59,12 +59,12 @@
 class Cluster:
     """Nodes c1, c2, ... of which each can crash, restart and lose its disk."""
 
-    def __init__(self, nursery, seed, count=3, make=consensus.Replica, **sets):
+    def __init__(self, nursery, seed, count=3, max_sync_s=0.002, **sets):
         self.nursery, self.rng = nursery, random.Random(seed)
+        self.max_sync_s = max_sync_s
         # Makes a failure repeatable by its seed.
         trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
         trio_run._r.seed(seed)
-        self.make = make
         self.settings = consensus.ConsensusSettings(**sets)
         self.events = []
         self.extra_delay = {}
@@ -86,11 +86,11 @@
 
     async def _run(self, node, task_status):
         node.machine = Machine()
-        node.replica = self.make(
+        node.replica = consensus.Replica(
             node.name,
             node.address,
             [other.address for other in self.nodes],
-            memory.MemoryStore(node.disk, self.rng),
+            memory.MemoryStore(node.disk, self.rng, self.max_sync_s),
             self.network.dialer(node.address),
             CODEC,
             node.machine,
