--- a/src/guavapulley/consensus/_applier.py
+++ b/src/guavapulley/consensus/_applier.py
@@ -90,6 +90,7 @@
         held = state.log.snapshot
         if held is None or held.index < index:
             state.log.compact(snapshot, state.env.settings.trailing_entries)
+        state.env.metrics.gauge("replica.snapshot_bytes", len(snapshot.state))
         state.env.events.write(
             "replica:snapshot_made", index=index, bytes=len(snapshot.state)
         )
--- a/src/guavapulley/consensus/_journal.py
+++ b/src/guavapulley/consensus/_journal.py
@@ -11,8 +11,9 @@
 from guavapulley.consensus import _log
 from guavapulley.consensus import _signal
 
-# Bounds the latency of the first command in a group.
+# Bounds the latency of the first command in a group, and its record.
 MAX_GROUP_ENTRIES = 2048
+MAX_GROUP_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -50,6 +51,10 @@
         return self.snapshot.index
 
 
+def _payload_bytes(operation: _Append) -> int:
+    return sum(len(entry.payload) for entry in operation.entries)
+
+
 class Journal:
     """The log in memory with a queue of changes to the store.
 
@@ -118,10 +123,14 @@
         if not isinstance(operation, _Append):
             return operation
         group = list(operation.entries)
+        size = _payload_bytes(operation)
         while self.pending and len(group) < MAX_GROUP_ENTRIES:
             following = self.pending[0]
             if not isinstance(following, _Append):
                 break
+            size += _payload_bytes(following)
+            if size > MAX_GROUP_BYTES:
+                break
             group.extend(following.entries)
             self.pending.popleft()
         return _Append(tuple(group))
--- a/tests/consensus/test_faults.py
+++ b/tests/consensus/test_faults.py
@@ -51,6 +51,18 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_leader_without_answers_confirms_no_read(
+    make_cluster, autojump_clock, nursery
+):
+    cluster = await make_cluster(nursery, 8).form()
+    old = cluster.leader()
+    cluster.cut(old)
+    assert old.replica.leadership().is_leader
+    with pytest.raises(consensus.NoQuorumError):
+        await old.replica.read_index(3)
+    nursery.cancel_scope.cancel()
+
+
 async def test_replaced_entry_is_answered_as_never_applied(
     make_cluster, autojump_clock, nursery
 ):
