Prove the control role and close holes in keys and leases

The control role had no tests. Writing them showed holes: - A key created more than 300 s ahead of the log was dropped before it expired and could then be granted again. It is refused with the new ClaimStatus.AGE_INVALID, which serving reports as KEY_AGE_INVALID. - Leases counted only one of two drifting clocks: with each clock 5 % off in opposite directions a lease lapsed 0.01 s after the leader had given it away. The leader now holds it 2.31 s instead of 2.2 s. - An isolated leader leased until it stepped down, about when another one may be elected. It now needs a quorum of the last 0.8 s. - When a cap is lowered, entries that have not heard of it keep using the unleased part of the old cap for up to 10 s. It is kept back from leases. - An outcome "claimed" could put an unknown outcome back to claimed, after which its request would be granted again. - Infinite caps, empty names and overrides of automatic labels passed. - Finding the oldest record of a dict slows down with removals.

--- a/src/guavapulley/control/_admin.py
+++ b/src/guavapulley/control/_admin.py
@@ -13,6 +13,7 @@
 from guavapulley import model
 from guavapulley import ports
 from guavapulley.control import _contacts
+from guavapulley.control import _leases
 from guavapulley.control import _service
 
 T = TypeVar("T")
@@ -246,7 +247,9 @@
 ) -> ports.EntryRevision:
     behind_s = None if contact.revision >= wanted else accepted_ago_s
     cut_off = contact.age_s > CONTACT_LIMIT_S
-    left_s = max(0.0, CONFIGURATION_LEASE_S - contact.age_s)
+    # The clock of the entry may be slower than that of the replica.
+    lease_s = _leases.longest_s(CONFIGURATION_LEASE_S)
+    left_s = max(0.0, lease_s - contact.age_s)
     return ports.EntryRevision(
         contact.entry,
         contact.revision,
--- a/src/guavapulley/control/_keys.py
+++ b/src/guavapulley/control/_keys.py
@@ -1,5 +1,7 @@
 """Durable records of idempotency keys."""
 
+import collections
+
 import attrs
 
 from guavapulley import model
@@ -14,11 +16,15 @@
 
     A record is kept for the retention and `MAX_KEY_AHEAD_S` after its claim. A
     claim of a key that is older than the retention is refused, so a key that
-    was dropped is never granted again.
+    was dropped is never granted again. That holds only for a key that was not
+    created after that time; a key further ahead is refused.
     """
 
     def __init__(self) -> None:
-        self.outcomes: dict[str, model.StoredOutcome] = {}
+        # Unlike a dict, it finds its first item at once after many removals.
+        self.outcomes: collections.OrderedDict[str, model.StoredOutcome] = (
+            collections.OrderedDict()
+        )
 
     def claim(
         self, index: int, claim: model.ClaimKey, log_time_s: float
@@ -36,6 +42,8 @@
             return self._repeated(known, claim)
         if claim.created_s < log_time_s - KEY_RETENTION_S:
             return model.ClaimReply(model.ClaimStatus.EXPIRED)
+        if not claim.created_s <= log_time_s + MAX_KEY_AHEAD_S:
+            return model.ClaimReply(model.ClaimStatus.AGE_INVALID)
         outcome = model.StoredOutcome(
             claim.key,
             claim.body_hash,
@@ -65,6 +73,9 @@
         known = self.outcomes.get(record.key)
         if known is None or known.request_id != record.request_id:
             return model.RecordReply(False)
+        if record.kind is model.OutcomeKind.CLAIMED:
+            # It would let a claim without known outcome be granted again.
+            return model.RecordReply(False)
         if known.kind is not model.OutcomeKind.COMPLETED:
             self.outcomes[record.key] = attrs.evolve(
                 known, kind=record.kind, answer=record.answer
--- a/src/guavapulley/control/_leases.py
+++ b/src/guavapulley/control/_leases.py
@@ -8,18 +8,33 @@
 from guavapulley import model
 
 LEASE_S = 2.0
-# Clocks of two VMs may differ in rate by this part.
+# The rate of a clock may differ from the true one by this part, either way.
 MAX_CLOCK_DRIFT = 0.05
 LEASE_MARGIN_S = 0.1
 # Part of each cap that is never leased; entries without a lease use it.
 UNLEASED_PART = 0.2
 # A demand that is not renewed for this long no longer counts.
 DEMAND_LIFETIME_S = 3.0
+# An entry that has not heard of a change sends nothing across regions after
+# this time by its own clock; see `CONFIGURATION_LEASE_S` of serving.
+DETACHED_AFTER_S = 10.0
 BYTES_PER_MBIT = 125_000
 
 Way = tuple[str, str]
 
 
+@attrs.frozen
+class _Cap:
+    """Cap of one way of a link, in bytes per second."""
+
+    whole: float
+    max_entries: int
+
+    def floor(self) -> float:
+        """Returns what one entry may use without a lease."""
+        return self.whole * UNLEASED_PART / self.max_entries
+
+
 @attrs.define
 class _Holder:
     """One entry on one way of a link.
@@ -68,11 +83,37 @@
         self.term = -1
         self.grants_from_s = 0.0
         self.ways: dict[Way, dict[str, _Holder]] = {}
+        self.caps: dict[Way, _Cap] = {}
+        self.older_caps: dict[Way, list[tuple[_Cap, float]]] = {}
+
+    def note_caps(self, links: Iterable[model.LinkCap]) -> None:
+        """Takes the caps in force; called at each replica on each change.
+
+        Entries that have not heard of the change use the unleased part of the
+        replaced caps until they are detached, so a new leader must know them.
+        """
+        replaced, self.caps = self.caps, _caps_by_way(links)
+        until_s = trio.current_time() + longest_s(DETACHED_AFTER_S)
+        for way, cap in replaced.items():
+            if self.caps.get(way) != cap:
+                self.older_caps.setdefault(way, []).append((cap, until_s))
+
+    def _leasable(self, way: Way) -> float:
+        """Returns the cap less all that entries may use without a lease."""
+        now_s = trio.current_time()
+        older = [
+            item for item in self.older_caps.get(way, ()) if item[1] > now_s
+        ]
+        self.older_caps[way] = older
+        current = self.caps[way]
+        possible = [current, *(cap for cap, _ in older)]
+        floor = max(cap.floor() for cap in possible)
+        entries = max(cap.max_entries for cap in possible)
+        return max(0.0, current.whole - floor * entries)
 
     def lease(
         self,
         request: model.LeaseShare,
-        links: Iterable[model.LinkCap],
         term: int,
     ) -> model.LeaseShareReply:
         """Grants shares by demand.
@@ -80,7 +121,6 @@
         Args:
             request: Demands of one entry; an earlier lease of the entry stays
                 counted until it expires.
-            links: Caps in force.
             term: Term of this leader.
         """
         now_s = trio.current_time()
@@ -89,13 +129,14 @@
             self.grants_from_s = now_s + _held_s()
         if now_s < self.grants_from_s:
             return model.LeaseShareReply((), 0.0)
-        caps = _caps_by_way(links)
         grants = (
             self._grant(
-                request.entry, demand, caps[demand.source, demand.target]
+                request.entry,
+                demand,
+                self._leasable((demand.source, demand.target)),
             )
             for demand in request.demands
-            if (demand.source, demand.target) in caps
+            if (demand.source, demand.target) in self.caps
         )
         return model.LeaseShareReply(tuple(grants), LEASE_S)
 
@@ -128,15 +169,27 @@
         return sum(holder.usable(now_s) for holder in holders)
 
 
+def longest_s(duration_s: float) -> float:
+    """Returns the time until a duration has passed on every other clock.
+
+    The worst case is a slow clock there and a fast one here.
+
+    >>> round(longest_s(2.0), 2)
+    2.31
+    """
+    slow, fast = 1 - MAX_CLOCK_DRIFT, 1 + MAX_CLOCK_DRIFT
+    return duration_s * fast / slow + LEASE_MARGIN_S
+
+
 def _held_s() -> float:
     """Returns how long the leader counts a lease after its request."""
-    return LEASE_S * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
+    return longest_s(LEASE_S)
 
 
-def _caps_by_way(links: Iterable[model.LinkCap]) -> dict[Way, float]:
-    caps: dict[Way, float] = {}
+def _caps_by_way(links: Iterable[model.LinkCap]) -> dict[Way, _Cap]:
+    caps: dict[Way, _Cap] = {}
     for link in links:
         first, second = link.regions()
-        leasable = link.mbit_per_s * BYTES_PER_MBIT * (1 - UNLEASED_PART)
-        caps[first, second] = caps[second, first] = leasable
+        cap = _Cap(link.mbit_per_s * BYTES_PER_MBIT, link.max_entries)
+        caps[first, second] = caps[second, first] = cap
     return caps
--- a/src/guavapulley/control/_machine.py
+++ b/src/guavapulley/control/_machine.py
@@ -1,5 +1,6 @@
 """State machine over the replicated log."""
 
+import collections
 from collections.abc import Callable
 
 from guavapulley import model
@@ -35,6 +36,8 @@
         history: Newest accepted changes, oldest first.
         keys: Idempotency records.
         log_time_s: Greatest Unix time that a command carried.
+        on_configuration: Called with each new configuration; it must not
+            change the state.
     """
 
     def __init__(
@@ -44,9 +47,14 @@
         self.validate = validate
         self.configuration = model.Configuration()
         self.history: list[ports.AcceptedChange] = []
-        self.verdicts: dict[str, model.Verdict] = {}
+        self.verdicts: collections.OrderedDict[str, model.Verdict] = (
+            collections.OrderedDict()
+        )
         self.keys = _keys.KeyTable()
         self.log_time_s = 0.0
+        self.on_configuration: Callable[[model.Configuration], None] = (
+            lambda configuration: None
+        )
 
     def apply(self, index: int, payload: bytes) -> object:
         """Applies a committed command and returns its result."""
@@ -76,7 +84,7 @@
             verdict = self._decide(index, change)
             self.verdicts[change.request_id] = verdict
             if len(self.verdicts) > MAX_VERDICTS:
-                del self.verdicts[next(iter(self.verdicts))]
+                self.verdicts.popitem(last=False)
         return verdict
 
     def _decide(self, index: int, change: model.Change) -> model.Verdict:
@@ -93,6 +101,7 @@
         if fault:
             return model.Verdict(model.VerdictKind.INVALID, current, fault)
         self.configuration = wanted
+        self.on_configuration(wanted)
         self.history.append(
             ports.AcceptedChange(index, change, self.log_time_s)
         )
@@ -120,7 +129,10 @@
         assert isinstance(stored, _commands.ControlState)
         self.configuration = stored.configuration
         self.history = list(stored.history)
-        self.verdicts = {v.request_id: v.verdict for v in stored.verdicts}
+        self.verdicts = collections.OrderedDict(
+            (item.request_id, item.verdict) for item in stored.verdicts
+        )
         self.keys = _keys.KeyTable()
-        self.keys.outcomes = {o.key: o for o in stored.outcomes}
+        self.keys.outcomes.update((o.key, o) for o in stored.outcomes)
         self.log_time_s = stored.log_time_s
+        self.on_configuration(self.configuration)
--- a/src/guavapulley/control/_service.py
+++ b/src/guavapulley/control/_service.py
@@ -18,6 +18,10 @@
 
 # A replica that heard of a quorum within this time counts as confirmed.
 MAX_QUORUM_AGE_S = 2.0
+# A new leader is elected at the earliest 1 s after a majority heard from the
+# old one. The old one must have stopped to lease by then, because the new one
+# waits only for the end of leases granted before its election.
+MAX_LEASE_QUORUM_AGE_S = 0.8
 MAX_WATCH_S = 30.0
 COMMAND_TIMEOUT_S = 4.0
 READ_TIMEOUT_S = 2.0
@@ -54,6 +58,7 @@
         self.unix_time = unix_time
         self.events = events
         self.leases = _leases.LinkLeases()
+        machine.on_configuration = self._note_caps
         self.contacts = _contacts.Contacts()
         self.clients: dict[model.NodeAddress, ports.PeerClient] = {}
 
@@ -124,12 +129,18 @@
         leadership = self.replica.leadership()
         if not leadership.is_leader:
             raise consensus.NotLeaderError(leadership.leader)
-        links = (
+        if leadership.quorum_age_s > MAX_LEASE_QUORUM_AGE_S:
+            raise consensus.NoQuorumError(
+                "no leases without a recent quorum", appended=False
+            )
+        return self.leases.lease(request, leadership.term)
+
+    def _note_caps(self, configuration: model.Configuration) -> None:
+        self.leases.note_caps(
             item
-            for item in self.machine.configuration.objects
+            for item in configuration.objects
             if isinstance(item, model.LinkCap)
         )
-        return self.leases.lease(request, links, leadership.term)
 
     async def _watch(
         self, request: model.WatchConfiguration
--- a/src/guavapulley/control/_validation.py
+++ b/src/guavapulley/control/_validation.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterator
 import ipaddress
+import math
 
 from guavapulley import errors
 from guavapulley import model
 from guavapulley import selectors
 
 MAX_OBJECTS = 10_000
+AUTOMATIC_LABELS = ("service", "region", "failure_domain", "upstream")
 
 
 def configuration_fault(configuration: model.Configuration) -> str:
@@ -28,6 +30,8 @@
 
 
 def _faults(item: model.ConfigurationObject) -> Iterator[str]:
+    if not item.name.strip():
+        yield "the name is empty"
     match item:
         case model.Service():
             yield from _service_faults(item)
@@ -36,8 +40,11 @@
                 yield f"share {item.share_percent} is not between 0 and 100"
             yield from _selector_faults(item.requests)
             yield from _selector_faults(item.upstreams)
-        case model.LabelOverride() | model.Drain():
+        case model.Drain():
             yield from _selector_faults(item.upstreams)
+        case model.LabelOverride():
+            yield from _selector_faults(item.upstreams)
+            yield from _label_faults(item.labels)
         case model.RegionLimit():
             if item.max_in_flight < 0:
                 yield "the limit of requests in flight is negative"
@@ -60,12 +67,22 @@
         yield "deadline and sizes must be positive"
 
 
+def _label_faults(labels: model.Labels) -> Iterator[str]:
+    if len(labels) > model.MAX_LABELS:
+        yield f"more than {model.MAX_LABELS} labels"
+    for key, value in labels.items():
+        if key in AUTOMATIC_LABELS:
+            yield f"the automatic label {key} cannot be set"
+        if not key or max(len(key), len(value)) > model.MAX_LABEL_CHARS:
+            yield f"a label has 1 to {model.MAX_LABEL_CHARS} characters"
+
+
 def _link_faults(item: model.LinkCap) -> Iterator[str]:
     regions = item.name.split(" ")
     if len(regions) != 2 or regions[0] >= regions[1]:
         yield "the name must be two regions in alphabetic order"
-    if not item.mbit_per_s > 0:
-        yield "the cap must be positive"
+    if not (item.mbit_per_s > 0 and math.isfinite(item.mbit_per_s)):
+        yield "the cap must be positive and finite"
     if item.max_entries < 1:
         yield "the number of entries must be positive"
 
--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -298,12 +298,16 @@
 
 
 class ClaimStatus(enum.StrEnum):
-    """Verdict on a claim."""
+    """Verdict on a claim.
+
+    `AGE_INVALID` refuses a key that is created in the future of the log.
+    """
 
     GRANTED = "granted"
     EXISTS = "exists"
     KEY_REUSED = "key_reused"
     EXPIRED = "expired"
+    AGE_INVALID = "age_invalid"
 
 
 @attrs.frozen
--- a/src/guavapulley/serving/_once.py
+++ b/src/guavapulley/serving/_once.py
@@ -267,6 +267,12 @@
             return None
         case model.ClaimStatus.EXPIRED:
             raise _keys.expired()
+        case model.ClaimStatus.AGE_INVALID:
+            raise _errors.ServingError(
+                _errors.KEY_AGE_INVALID,
+                "the key is created in the future of the control replicas",
+                not_run=True,
+            )
         case model.ClaimStatus.KEY_REUSED:
             raise _errors.ServingError(
                 _errors.KEY_REUSED,
