Run the entry role: adapters, gossip, watch, leases and the command

Cause: the parts of an entry were not joined. Change: run_entry wires the HTTP and peer servers, registry, gossip, follower, steering, leases and shutdown; 'guavapulley entry run' starts it. The registry gossips claims of slots.

--- a/src/guavapulley/membership/_registry.py
+++ b/src/guavapulley/membership/_registry.py
@@ -142,10 +142,24 @@
         if state is model.EntryState.LEAVING:
             self.notify((ENTRY, self.own.name))
 
-    def set_status(self, revision: int, in_flight: dict[str, int]) -> None:
-        """Changes the revision in force and the in-flight counts to gossip."""
+    def set_status(
+        self,
+        revision: int,
+        in_flight: dict[str, int],
+        claims: dict[str, int] | None = None,
+    ) -> None:
+        """Changes what is gossiped of the work of this entry.
+
+        Args:
+            revision: Revision in force.
+            in_flight: Own requests in flight by upstream.
+            claims: Claimed slots by `SERVICE/REGION`.
+        """
         self.entries.own = attrs.evolve(
-            self.own, revision=revision, in_flight=in_flight
+            self.own,
+            revision=revision,
+            in_flight=in_flight,
+            claims=claims or {},
         )
 
     def beat(self) -> None:
--- a/src/guavapulley/programs/_cli_roles.py
+++ b/src/guavapulley/programs/_cli_roles.py
@@ -8,6 +8,7 @@
 
 from guavapulley.adapters import settings
 from guavapulley.programs import _control
+from guavapulley.programs import _entry
 
 _settings_option = click.option(
     "--settings",
@@ -48,3 +49,16 @@
         )
     )
     click.echo(f"{loaded.node}: cluster created")
+
+
+@click.group()
+def entry() -> None:
+    """Run an entry."""
+
+
+@entry.command("run")
+@_settings_option
+def entry_run(path: pathlib.Path) -> None:
+    """Run the entry of this VM until SIGTERM or SIGINT."""
+    loaded = settings.load_process_settings(path, settings.Role.ENTRY)
+    trio.run(_entry.run_entry, loaded)
--- /dev/null
+++ b/src/guavapulley/programs/_entry.py
@@ -0,0 +1,236 @@
+"""The entry role: all of its adapters and tasks."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+import random
+import secrets
+
+import attrs
+import trio
+
+from guavapulley import consensus
+from guavapulley import errors
+from guavapulley import membership
+from guavapulley import model
+from guavapulley import serving
+from guavapulley import steering
+from guavapulley.adapters import clock as wall_clock
+from guavapulley.adapters import http
+from guavapulley.adapters import nng
+from guavapulley.adapters import settings as settings_adapter
+from guavapulley.programs import _groups
+from guavapulley.programs import _process
+
+CLAIM_ID_BYTES = 8
+
+
+@attrs.frozen
+class EntryOptions:
+    """What differs between a VM and a test or demonstration.
+
+    Attributes:
+        limits: What the HTTP server accepts.
+        lookup_lifetime_s: Time for which a stopping entry still serves.
+        wait_to_stop: Returns when the entry is to stop.
+    """
+
+    limits: http.HttpLimits = attrs.field(factory=http.HttpLimits)
+    lookup_lifetime_s: float = serving.LOOKUP_LIFETIME_S
+    wait_to_stop: Callable[[], Awaitable[object]] = _process.wait_for_signal
+
+
+class EntryPeerHandler:
+    """`ports.PeerHandler` of an entry."""
+
+    def __init__(self, gossiper: membership.Gossiper) -> None:
+        self.gossiper = gossiper
+
+    async def handle(self, request: model.PeerMessage) -> model.PeerMessage:
+        """Returns the reply to another process; see `ports.PeerHandler`."""
+        if isinstance(request, model.Gossip):
+            return await self.gossiper.handle(request)
+        raise errors.GuavapulleyError(
+            consensus.MESSAGE_UNKNOWN,
+            f"an entry does not handle {type(request).__name__}",
+        )
+
+
+class Entry:
+    """The parts of an entry, joined to each other.
+
+    Args:
+        context: Adapters of the process.
+        options: What differs between a VM and a test.
+    """
+
+    def __init__(
+        self, context: _process.ProcessContext, options: EntryOptions
+    ) -> None:
+        self.context = context
+        self.options = options
+        settings, dialer = context.settings, context.dialer
+        rng = random.SystemRandom()
+        self.registry = membership.Registry(_own_record(settings))
+        self.gossiper = membership.Gossiper(
+            self.registry,
+            dialer,
+            settings.entry_seeds,
+            rng,
+            context.events,
+            context.metrics,
+        )
+        self.control = serving.ControlClient(dialer, settings.control_peers)
+        self.follower = serving.ConfigurationFollower(
+            settings.node,
+            self.control,
+            self.registry.newest_revision,
+            context.events,
+        )
+        self.view = serving.EntryView(self.follower, self.registry)
+        self.links = steering.LinkShares(self.view)
+        self.steerer = steering.Steerer(
+            self.view,
+            settings.node,
+            settings.region,
+            context.events,
+            context.metrics,
+            rng,
+            links=self.links,
+        )
+        self.client = http.UrllibUpstreamClient(self._connection_share)
+        self.services = self._services()
+
+    async def run(self, task_status: trio.TaskStatus[http.HttpServer]) -> None:
+        """Runs all tasks; returns after a shutdown that cuts no request."""
+        context, settings = self.context, self.context.settings
+        frontend = http.EntryFrontend(
+            self.services, settings.upstream_token, settings.operator_token
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                nng.serve_peers,
+                settings.peer,
+                EntryPeerHandler(self.gossiper),
+                context.envelopes,
+                settings.node,
+                context.clock,
+                context.events,
+            )
+            server = await nursery.start(
+                functools.partial(
+                    http.serve_http,
+                    settings.http,
+                    frontend,
+                    context.events,
+                    limits=self.options.limits,
+                )
+            )
+            nursery.start_soon(self.gossiper.run)
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.services.once.record_late)
+            nursery.start_soon(
+                serving.renew_leases,
+                settings.node,
+                self.control,
+                self.links,
+                context.events,
+            )
+            task_status.started(server)
+            await self._present()
+            await serving.shut_down(
+                self.registry,
+                server,
+                context.events,
+                lifetime_s=self.options.lookup_lifetime_s,
+            )
+            await self.services.once.finish()
+            nursery.cancel_scope.cancel()
+        self.client.close()
+        await self.control.aclose()
+
+    async def _present(self) -> None:
+        """Tells the other entries of this one until it is to stop."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                serving.mirror_state, self.follower, self.steerer, self.registry
+            )
+            await self.options.wait_to_stop()
+            nursery.cancel_scope.cancel()
+
+    def _services(self) -> http.EntryServices:
+        context, settings = self.context, self.context.settings
+        dispatcher = serving.Dispatcher(
+            self.client, self.registry, settings.region, self.links
+        )
+        regions = serving.CallerRegions(settings.region)
+        once = serving.OnceFlow(
+            settings.node,
+            self.control,
+            self.steerer,
+            dispatcher,
+            wall_clock.unix_time_s,
+            functools.partial(secrets.token_hex, CLAIM_ID_BYTES),
+            context.events,
+        )
+        requests = serving.RequestService(
+            self.follower,
+            self.steerer,
+            dispatcher,
+            once,
+            regions,
+            context.metrics,
+        )
+        return http.EntryServices(
+            settings.node,
+            requests,
+            once,
+            serving.Lookup(self.view),
+            regions,
+            self.registry,
+            self.follower,
+            self.view,
+            self.steerer,
+        )
+
+    def _connection_share(self, upstream: model.UpstreamRecord) -> int:
+        """Divides the connections of an upstream among the live entries."""
+        entries = max(1, len(self.registry.live_entries()))
+        return max(1, upstream.max_connections // entries)
+
+
+async def run_entry(
+    loaded: settings_adapter.ProcessSettings,
+    options: EntryOptions | None = None,
+    *,
+    task_status: trio.TaskStatus[http.HttpServer] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Runs an entry until it is told to stop.
+
+    Args:
+        loaded: Settings of the process.
+        options: What differs between a VM and a test.
+        task_status: Started with the HTTP server when both ports listen.
+
+    Raises:
+        ListenError: The HTTP address cannot be used.
+        PeerError: The peer address cannot be used.
+    """
+    with _process.process_context(loaded) as context, _groups.single_error():
+        context.events.write("entry:started")
+        await Entry(context, options or EntryOptions()).run(task_status)
+
+
+def _own_record(
+    settings: settings_adapter.ProcessSettings,
+) -> model.EntryRecord:
+    return model.EntryRecord(
+        settings.node,
+        settings.region,
+        settings.failure_domain,
+        settings.announced_http,
+        settings.announced_peer,
+        wall_clock.unix_time_ms(),
+        0,
+        model.EntryState.STARTING,
+    )
