--- a/src/guavapulley/steering/_lending.py
+++ b/src/guavapulley/steering/_lending.py
@@ -87,6 +87,8 @@
             return
         self.quotas = dict(quotas)
         self.changed_at_s = now_s
+        # Claims under the old division would look like needs or surpluses.
+        self.others.clear()
         own = self.quotas.get(self.entry, 0)
         self.claim = Claim(
             own, own, need=self.claim.need, mean_need=self.claim.mean_need
@@ -141,6 +143,8 @@
             claim.slots, claim.limit = kept, kept
             claim.wanting_since_s = math.inf
         elif highest <= own or claim.slots < own:
+            # Also when nobody needs them any more: they are then ready before
+            # the load of this entry rises.
             self._take_back(own, mean_s, now_s)
             claim.slots = own
             claim.wanting_since_s = math.inf
