Prefer confirmed answers, and wait out an election

Cause: in a trial with three replicas, a drain sent 0.1 s after the leader was killed failed with exit code 4, because the first answer was not confirmed. An isolated replica that stands first in the list would have misled every command. Change: the client asks the next replica when an answer is not confirmed, keeps to the address that answered, and a change waits for a majority within its time limit. The history names at most three objects of a change. Measured: tests with isolated, refusing and broken replicas pass; doubt about one attempt is kept although later ones are refused. Conclusion: exit code 4 means that no replica had a majority in time.

--- a/src/guavapulley/adapters/http/_admin_client.py
+++ b/src/guavapulley/adapters/http/_admin_client.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 from typing import Any
+from typing import Protocol
 from typing import TypeVar
 import urllib.parse
 
@@ -47,6 +48,14 @@
         self.not_run = not_run
 
 
+class _Confirmable(Protocol):
+    @property
+    def confirmed(self) -> bool: ...
+
+
+C = TypeVar("C", bound=_Confirmable)
+
+
 class AdminClient:
     """Calls the administration API of the first replica that answers.
 
@@ -76,8 +85,8 @@
         )
 
     async def configuration(self) -> ports.ConfigurationView:
-        """Returns the current configuration."""
-        return await self.get("configuration", ports.ConfigurationView)
+        """Returns the current configuration, confirmed if any replica can."""
+        return await self._confirmed("configuration", ports.ConfigurationView)
 
     async def change(self, change: model.Change) -> model.Verdict:
         """Sends a change until there is a verdict.
@@ -104,7 +113,8 @@
     ) -> ports.RevisionStatus:
         """Returns how far a revision is in force."""
         name = "current" if revision is None else str(revision)
-        return await self.get(f"revisions/{name}", ports.RevisionStatus)
+        path = f"revisions/{name}"
+        return await self._confirmed(path, ports.RevisionStatus)
 
     async def replicas(self) -> tuple[ports.ReplicaView, ...]:
         """Returns the control replicas."""
@@ -141,28 +151,49 @@
         answer = await self._call("GET", path, None)
         return _admin_codec.from_json(answer, kind)
 
+    async def _confirmed(self, path: str, kind: type[C]) -> C:
+        """Asks the replicas in turn until one has a majority's word.
+
+        An isolated replica answers too, with what it knew before.
+        """
+        answer = await self.get(path, kind)
+        for _ in self.addresses[1:]:
+            if answer.confirmed:
+                break
+            self._prefer(self.addresses[1])
+            answer = await self.get(path, kind)
+        return answer
+
+    def _prefer(self, address: model.NodeAddress) -> None:
+        """Makes an address the first one to be tried."""
+        index = self.addresses.index(address)
+        self.addresses = self.addresses[index:] + self.addresses[:index]
+
     async def _call(self, method: str, path: str, body: bytes | None) -> Any:
         """Calls one address after another until there is an answer."""
         failure: AdminCallError | None = None
         may_have_run = under_way = False
+        addresses = self.addresses
         with trio.move_on_after(self.timeout_s):
-            for address in itertools.cycle(self.addresses):
+            for address in itertools.cycle(addresses):
                 under_way = body is not None
                 try:
-                    return await self._attempt(address, method, path, body)
+                    answer = await self._attempt(address, method, path, body)
+                    self._prefer(address)
+                    return answer
                 except _RetryableError as error:
                     under_way = False
                     failure = error
                     may_have_run |= not error.not_run
                     self.progress(f"{address}: {error.message}")
-                if address == self.addresses[-1]:
+                if address == addresses[-1]:
                     await trio.sleep(ROUND_PAUSE_S)
         may_have_run |= under_way
         last = f": {failure.message}" if failure else ""
         code = failure.code if failure else ADMIN_UNREACHABLE
         raise AdminCallError(
             ports.CHANGE_UNKNOWN if may_have_run else code,
-            f"no answer from {', '.join(map(str, self.addresses))}{last}",
+            f"no answer from {', '.join(map(str, addresses))}{last}",
             not_run=not may_have_run,
         )
 
--- a/src/guavapulley/programs/_cli_changes.py
+++ b/src/guavapulley/programs/_cli_changes.py
@@ -8,6 +8,7 @@
 
 import attrs
 import click
+import trio
 
 from guavapulley import model
 from guavapulley.adapters import http
@@ -204,15 +205,29 @@
 
 
 async def _current(session: _session.Session) -> model.Configuration:
-    view = await session.client.configuration()
-    if not view.confirmed:
-        raise _exit.CommandError(
-            _exit.CONFIGURATION_STALE,
-            "no majority confirmed the configuration; a change would start"
-            " from a revision that may be stale",
-            _exit.Exit.NOT_ACCEPTED,
-        )
-    return view.configuration
+    """Returns the configuration once a majority confirms it.
+
+    The time limit lets an election end before the command gives up.
+
+    Raises:
+        CommandError: No majority confirmed it in time.
+    """
+    with trio.move_on_after(session.timeout_s):
+        told = False
+        while True:
+            view = await session.client.configuration()
+            if view.confirmed:
+                return view.configuration
+            if not told:
+                session.tell("waiting for a majority of the control replicas")
+                told = True
+            await trio.sleep(_session.POLL_INTERVAL_S)
+    raise _exit.CommandError(
+        _exit.CONFIGURATION_STALE,
+        "no majority confirmed the configuration; a change would start from a"
+        " revision that may be stale",
+        _exit.Exit.NOT_ACCEPTED,
+    )
 
 
 async def _put(
--- a/src/guavapulley/programs/_cli_views.py
+++ b/src/guavapulley/programs/_cli_views.py
@@ -13,6 +13,9 @@
 from guavapulley.programs import _session
 from guavapulley.programs import _tables
 
+# A change may put hundreds of objects; a table names the first ones.
+MAX_NAMED_OBJECTS = 3
+
 
 @click.command()
 @click.argument("kind", required=False, type=click.Choice(settings.KINDS))
@@ -67,12 +70,13 @@
 
 def _objects(change: model.Change) -> str:
     puts = (model.object_key(item) for item in change.puts)
-    return ", ".join(
-        [
-            *(f"{key.kind} {key.name}" for key in puts),
-            *(f"-{key.kind} {key.name}" for key in change.deletes),
-        ]
-    )
+    names = [
+        *(f"{key.kind} {key.name}" for key in puts),
+        *(f"-{key.kind} {key.name}" for key in change.deletes),
+    ]
+    more = len(names) - MAX_NAMED_OBJECTS
+    shown = ", ".join(names[:MAX_NAMED_OBJECTS])
+    return f"{shown} and {more} more" if more > 0 else shown
 
 
 @click.command()
--- /dev/null
+++ b/tests/adapters/http/test_admin_client.py
@@ -0,0 +1,105 @@
+"""Guards against operators who are misled by one bad replica."""
+
+import contextlib
+
+import pytest
+import trio
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley.adapters import http
+from guavapulley.adapters import memory
+
+TOKEN = "operator-token-0123456789"
+CHANGE = model.Change("id-1", 0, "jana", (model.Drain("a", "rack = 1"),))
+
+
+@pytest.fixture
+async def connect(nursery):
+    """Returns a function that makes a client of several services."""
+
+    async def start(*services, timeout_s=5.0):
+        addresses = []
+        for service in services:
+            server = await nursery.start(
+                http.serve_http,
+                model.NodeAddress("127.0.0.1", 0),
+                http.AdminFrontend(service, TOKEN, ports.NullEventLog()),
+                ports.NullEventLog(),
+            )
+            addresses.append(server.address)
+        return http.AdminClient(addresses, TOKEN, timeout_s, lambda text: None)
+
+    return start
+
+
+def isolated():
+    return memory.MemoryAdmin(
+        confirmed=False,
+        refusals=[
+            ports.AdminError(
+                ports.CHANGE_NOT_ACCEPTED, "no quorum", not_run=True
+            )
+        ]
+        * 10,
+    )
+
+
+async def test_confirmed_answer_is_preferred(connect):
+    healthy = memory.MemoryAdmin(model.Configuration(9))
+    client = await connect(isolated(), isolated(), healthy)
+    view = await client.configuration()
+    assert (view.confirmed, view.configuration.revision) == (True, 9)
+    assert (await client.revision_status(None)).current == 9
+
+
+async def test_unconfirmed_answer_is_given_when_there_is_no_other(connect):
+    client = await connect(isolated(), isolated())
+    assert not (await client.configuration()).confirmed
+
+
+async def test_refusing_replica_is_passed_over(connect):
+    healthy = memory.MemoryAdmin()
+    client = await connect(isolated(), healthy)
+    assert (await client.change(CHANGE)).kind is model.VerdictKind.ACCEPTED
+    assert len(healthy.accepted) == 1
+
+
+LOST = ports.AdminError(ports.CHANGE_UNKNOWN, "appended", not_run=False)
+REFUSED = ports.AdminError(ports.CHANGE_NOT_ACCEPTED, "none", not_run=True)
+ENDS = [
+    ([REFUSED] * 20, True),
+    ([REFUSED] * 3 + [LOST] + [REFUSED] * 20, False),
+    ([LOST] * 20, False),
+]
+
+
+@pytest.mark.parametrize("refusals, not_run", ENDS)
+async def test_doubt_about_one_attempt_is_kept(connect, refusals, not_run):
+    client = await connect(
+        memory.MemoryAdmin(refusals=list(refusals)), timeout_s=2.2
+    )
+    with pytest.raises(http.AdminCallError) as caught:
+        await client.change(CHANGE)
+    assert caught.value.not_run is not_run
+
+
+async def test_broken_answer_leaves_a_change_in_doubt(nursery):
+    async def garbage(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some()
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n{")
+            await stream.aclose()
+
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listener.socket.getsockname()[1]
+    nursery.start_soon(trio.serve_listeners, garbage, [listener])
+    client = http.AdminClient(
+        [model.NodeAddress("127.0.0.1", port)], TOKEN, 0.6, lambda text: None
+    )
+    with pytest.raises(http.AdminCallError) as caught:
+        await client.change(CHANGE)
+    assert caught.value.code == ports.CHANGE_UNKNOWN
+    with pytest.raises(http.AdminCallError) as caught:
+        await client.configuration()
+    assert caught.value.not_run
--- a/tests/programs/test_cli.py
+++ b/tests/programs/test_cli.py
@@ -88,7 +88,7 @@
     first, text = await console("apply steering.ini --timeout 1")
     admin.confirmed = False
     admin.refusals = []
-    second, more = await console("apply steering.ini", "show")
+    second, more = await console("apply steering.ini --timeout 1", "show")
     golden("cli-refused.txt", text + more)
     assert first + second == [4, 4, 0]
     assert admin.configuration_.revision == 7
