--- a/src/guavapulley/programs/_stand_in.py
+++ b/src/guavapulley/programs/_stand_in.py
@@ -134,7 +134,7 @@
         task_status: Started with the upstream when it listens.
     """
     stand_in = StandIn(settings)
-    leaving = leaving or trio.Event()
+    leaving = trio.Event() if leaving is None else leaving
     limits = http.HttpLimits(workers=2 * settings.record.slots + 4)
     async with trio.open_nursery() as nursery:
         serve = functools.partial(
--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -18,6 +18,8 @@
 import urllib3
 
 from guavapulley import model
+from guavapulley import ports
+from guavapulley import programs
 from tests.integration import fault_proxy
 
 START_TIMEOUT_S = 20
@@ -91,6 +93,8 @@
         self.proxy = fault_proxy.FaultProxy(nursery)
         self.nodes: dict[str, Node] = {}
         self.processes: list[trio.Process] = []
+        self.upstreams: dict[str, programs.StandIn] = {}
+        self.leaving: dict[str, trio.Event] = {}
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         for name, text in TOKENS.items():
             path = folder / name
@@ -204,6 +208,47 @@
             lambda: len(self.voters()) == len(regions), START_TIMEOUT_S, "join"
         )
 
+    async def start_entries(self, regions: tuple[str, ...]) -> None:
+        """Starts an entry for each region named, in regions and domains."""
+        for number, region in enumerate(regions):
+            await self.add(f"entry-{number}", "entry", region, 31 + number)
+        self.write_settings()
+        async with trio.open_nursery() as nursery:
+            for node in self.of_role("entry"):
+                nursery.start_soon(self.start, node.name)
+
+    async def start_upstream(
+        self, record: model.UpstreamRecord, service_time_s: float = 0.01
+    ) -> programs.StandIn:
+        """Runs a simulated upstream inside the test."""
+        entries = tuple(node.http for node in self.of_role("entry"))
+        token = TOKENS["upstream.token"]
+        settings = programs.StandInSettings(
+            record, entries, service_time_s, token=token
+        )
+        leaving = self.leaving[record.upstream] = trio.Event()
+        started = await self.nursery.start(
+            programs.run_stand_in, settings, ports.NullEventLog(), leaving
+        )
+        self.upstreams[record.upstream] = started
+        return started
+
+    async def request(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        timeout_s: float = 30,
+        **arguments: Any,
+    ) -> urllib3.BaseHTTPResponse:
+        """Sends a request of a caller to an entry."""
+        url = f"http://{self.nodes[entry].http}{path}"
+        return await trio.to_thread.run_sync(
+            lambda: self.http.request(
+                method, url, timeout=timeout_s, **arguments
+            )
+        )
+
     def voters(self) -> list[str]:
         """Returns the names of the voters that the leader knows."""
         leader = self.leader()
