--- a/src/guavapulley/membership/_registry.py
+++ b/src/guavapulley/membership/_registry.py
@@ -146,11 +146,20 @@
         self,
         revision: int,
         in_flight: dict[str, int],
-        claims: dict[str, int],
+        claims: dict[str, int] | None = None,
     ) -> None:
-        """Changes the revision in force, counts and claims to gossip."""
+        """Changes what is gossiped of the work of this entry.
+
+        Args:
+            revision: Revision in force.
+            in_flight: Own requests in flight by upstream.
+            claims: Claimed slots by `SERVICE/REGION`.
+        """
         self.entries.own = attrs.evolve(
-            self.own, revision=revision, in_flight=in_flight, claims=claims
+            self.own,
+            revision=revision,
+            in_flight=in_flight,
+            claims=claims or {},
         )
 
     def beat(self) -> None:
