Keep idempotency records encoded and refuse reused request IDs

Records are now encoded when they change. A change with the request ID of another change got the verdict of that one and looked accepted; it is INVALID now. A hypothesis test guards against texts that make validation raise, which would end every replica.

--- a/src/guavapulley/control/_commands.py
+++ b/src/guavapulley/control/_commands.py
@@ -43,10 +43,17 @@
 
 @attrs.frozen
 class StoredVerdict:
-    """Verdict on the change with a request ID."""
+    """Verdict on the change with a request ID.
+
+    Attributes:
+        request_id: The request ID.
+        verdict: Its verdict.
+        content: Hash of what the change puts and deletes.
+    """
 
     request_id: str
     verdict: model.Verdict
+    content: bytes = b""
 
 
 @attrs.frozen
@@ -57,14 +64,19 @@
         configuration: Current configuration.
         history: Newest accepted changes, oldest first.
         verdicts: Newest verdicts, oldest first.
-        outcomes: Idempotency records, oldest first.
+        keys: Idempotency keys, oldest claim first.
+        claimed_at_s: Log time of the claim of each key.
+        outcomes: Encoded record of each key; encoded when they change, as
+            encoding all of them for a snapshot would take seconds.
         log_time_s: Greatest Unix time that a command carried.
     """
 
     configuration: model.Configuration
     history: tuple[ports.AcceptedChange, ...]
     verdicts: tuple[StoredVerdict, ...]
-    outcomes: tuple[model.StoredOutcome, ...]
+    keys: tuple[str, ...]
+    claimed_at_s: tuple[float, ...]
+    outcomes: tuple[bytes, ...]
     log_time_s: float
 
 
--- a/src/guavapulley/control/_machine.py
+++ b/src/guavapulley/control/_machine.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+import hashlib
 
 from guavapulley import model
 from guavapulley import ports
@@ -13,6 +14,7 @@
 # base revision is no longer the current one; it is never applied twice.
 MAX_VERDICTS = 10_000
 MAX_HISTORY = 1_000
+CONTENT_HASH_BYTES = 16
 
 Validator = Callable[[model.Configuration], str]
 
@@ -47,10 +49,10 @@
         self.validate = validate
         self.configuration = model.Configuration()
         self.history: list[ports.AcceptedChange] = []
-        self.verdicts: collections.OrderedDict[str, model.Verdict] = (
+        self.verdicts: collections.OrderedDict[str, _commands.StoredVerdict] = (
             collections.OrderedDict()
         )
-        self.keys = _keys.KeyTable()
+        self.keys = _keys.KeyTable(codec)
         self.log_time_s = 0.0
         self.on_configuration: Callable[[model.Configuration], None] = (
             lambda configuration: None
@@ -79,13 +81,30 @@
         self.log_time_s = max(self.log_time_s, proposed_at_s)
 
     def _change(self, index: int, change: model.Change) -> model.Verdict:
-        verdict = self.verdicts.get(change.request_id)
-        if verdict is None:
+        content = self._content(change)
+        stored = self.verdicts.get(change.request_id)
+        if stored is None:
             verdict = self._decide(index, change)
-            self.verdicts[change.request_id] = verdict
+            self.verdicts[change.request_id] = _commands.StoredVerdict(
+                change.request_id, verdict, content
+            )
             if len(self.verdicts) > MAX_VERDICTS:
                 self.verdicts.popitem(last=False)
-        return verdict
+            return verdict
+        if stored.content != content:
+            # The first verdict would tell that this change is in force.
+            return model.Verdict(
+                model.VerdictKind.INVALID,
+                self.configuration.revision,
+                f"request ID {change.request_id} belongs to another change",
+            )
+        return stored.verdict
+
+    def _content(self, change: model.Change) -> bytes:
+        bare = model.Change("", 0, "", change.puts, change.deletes)
+        return hashlib.blake2b(
+            self.codec.encode(bare), digest_size=CONTENT_HASH_BYTES
+        ).digest()
 
     def _decide(self, index: int, change: model.Change) -> model.Verdict:
         current = self.configuration.revision
@@ -114,11 +133,10 @@
             _commands.ControlState(
                 self.configuration,
                 tuple(self.history),
-                tuple(
-                    _commands.StoredVerdict(request_id, verdict)
-                    for request_id, verdict in self.verdicts.items()
-                ),
-                tuple(self.keys.outcomes.values()),
+                tuple(self.verdicts.values()),
+                tuple(self.keys.records),
+                tuple(at_s for at_s, _ in self.keys.records.values()),
+                tuple(data for _, data in self.keys.records.values()),
                 self.log_time_s,
             )
         )
@@ -130,9 +148,10 @@
         self.configuration = stored.configuration
         self.history = list(stored.history)
         self.verdicts = collections.OrderedDict(
-            (item.request_id, item.verdict) for item in stored.verdicts
+            (item.request_id, item) for item in stored.verdicts
         )
-        self.keys = _keys.KeyTable()
-        self.keys.outcomes.update((o.key, o) for o in stored.outcomes)
+        self.keys = _keys.KeyTable(self.codec)
+        records = zip(stored.claimed_at_s, stored.outcomes, strict=True)
+        self.keys.records.update(zip(stored.keys, records, strict=True))
         self.log_time_s = stored.log_time_s
         self.on_configuration(self.configuration)
--- a/src/guavapulley/control/_service.py
+++ b/src/guavapulley/control/_service.py
@@ -122,7 +122,7 @@
 
     async def _outcome(self, request: model.GetOutcome) -> model.ClaimReply:
         await self.replica.read_index(READ_TIMEOUT_S)
-        outcome = self.machine.keys.outcomes.get(request.key)
+        outcome = self.machine.keys.find(request.key)
         return model.ClaimReply(model.ClaimStatus.EXISTS, outcome)
 
     def _lease(self, request: model.LeaseShare) -> model.LeaseShareReply:
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -1,5 +1,7 @@
 """Guards against lost, repeated or diverging decisions of the log."""
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from guavapulley import control
@@ -31,6 +33,29 @@
     assert machine.configuration.revision == 6
 
 
+def test_a_request_id_of_another_change_does_not_get_its_verdict(machine, make):
+    make.command(machine, 1, make.change("a", 0, make.drain("x")))
+    verdict = make.command(machine, 2, make.change("a", 1, make.drain("y")))
+    assert verdict.kind is INVALID
+    assert "another change" in verdict.message
+    again = make.command(machine, 3, make.change("a", 0, make.drain("x")))
+    assert again.kind is ACCEPTED
+
+
+@hypothesis.given(text=st.text(max_size=40))
+def test_no_text_of_an_operator_stops_the_replicas(text):
+    # An exception in `apply` would end every replica at the same command.
+    for item in (
+        model.Drain("d", text),
+        model.Drain(text, "a = b"),
+        model.LinkCap(text, 1.0),
+        model.ClientBlock(text, text),
+        model.LabelOverride("l", "a = b", {text: text}),
+    ):
+        wanted = model.Configuration(1, (item,))
+        assert isinstance(control.configuration_fault(wanted), str)
+
+
 def test_a_resend_after_its_verdict_was_dropped_is_not_applied_twice(
     machine, make, monkeypatch
 ):
@@ -133,7 +158,7 @@
         retry = make.claim(f"r{index}", created_s=created_s)
         seen.add(make.command(machine, index, retry, at_s).status)
     assert seen == {EXISTS, EXPIRED}
-    assert not machine.keys.outcomes
+    assert not machine.keys.records
 
 
 @pytest.mark.parametrize(
