Guard once requests against two attempts at a time

Cause: the check before an attempt looked only at attempts that had begun to send, so two begun together, before a wait for a link, could both pass. Change: an attempt in progress blocks another; a connect that takes more than 0.5 s fails, which is certainly not run; OUTCOME_UNKNOWN has status 502. Conclusion: at most once no longer depends on steering.

--- a/src/guavapulley/adapters/http/_connection.py
+++ b/src/guavapulley/adapters/http/_connection.py
@@ -18,9 +18,10 @@
 from guavapulley import ports
 from guavapulley.adapters.http import _headers
 
-# Loopback and the networks between regions connect within 100 ms; a lost SYN
-# is sent again after 1 s.
-CONNECT_TIMEOUT_S = 1.5
+# Regions connect within 100 ms. A lost SYN is sent again only after 1 s; by
+# then another upstream can have answered, because a failed connect is certain
+# not to have run anything.
+CONNECT_TIMEOUT_S = 0.5
 CHUNK_BYTES = 65_536
 # A body up to this size is read together with the head, in one thread call.
 PREFETCH_BYTES = 65_536
--- a/src/guavapulley/adapters/http/_errors.py
+++ b/src/guavapulley/adapters/http/_errors.py
@@ -64,7 +64,7 @@
         "KEY_AGE_INVALID": 400,
         "KEY_INVALID": 400,
         "CONFLICT": 409,
-        "OUTCOME_UNKNOWN": 409,
+        "OUTCOME_UNKNOWN": 502,
         "KEY_EXPIRED": 410,
         "KEY_REUSED": 422,
         "REQUEST_TOO_LARGE": 413,
--- a/src/guavapulley/serving/_attempts.py
+++ b/src/guavapulley/serving/_attempts.py
@@ -67,6 +67,7 @@
     Attributes:
         ends_at_s: Deadline on trio's clock.
         uncertain: Attempts of which a byte can have reached an upstream.
+        busy: Whether the only attempt of a once request is being made.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.ends_at_s = ends_at_s
         self.new_connection = new_connection
         self.uncertain = 0
+        self.busy = False
 
     @property
     def not_run(self) -> bool:
--- a/src/guavapulley/serving/_once.py
+++ b/src/guavapulley/serving/_once.py
@@ -242,15 +242,25 @@
 async def _single_attempt(
     attempts: _attempts.Attempts, record: model.UpstreamRecord
 ) -> model.Answer:
-    # The steerer may try again only after a certain "not run". This is
-    # checked here as well, because a second run cannot be undone.
-    if not attempts.not_run:
+    """Makes an attempt unless another one may have run or is being made.
+
+    Steering tries again only after a certain "not run". This is checked here
+    as well, because a second run cannot be undone.
+
+    Raises:
+        UpstreamError: The attempt failed or must not be made.
+    """
+    if not attempts.not_run or attempts.busy:
         raise ports.UpstreamError(
             ports.UPSTREAM_BROKEN,
             "an earlier attempt may have run",
             not_run=False,
         )
-    return await attempts.whole(record)
+    attempts.busy = True
+    try:
+        return await attempts.whole(record)
+    finally:
+        attempts.busy = False
 
 
 def _stored_answer(reply: model.ClaimReply) -> model.Answer | None:
--- a/tests/serving/test_once.py
+++ b/tests/serving/test_once.py
@@ -1,6 +1,7 @@
 """Guards against second runs of non-idempotent requests."""
 
 import collections
+import contextlib
 import random
 
 import attrs
@@ -9,6 +10,7 @@
 import trio.testing
 
 from guavapulley import model
+from guavapulley import ports
 from guavapulley import serving
 
 KEY = "k1"
@@ -223,6 +225,30 @@
     assert not control.calls
 
 
+async def test_steerer_cannot_make_two_attempts_at_a_time(
+    memory, autojump_clock
+):
+    class Hedging:
+        async def run(self, request, service, attempt):
+            answers = []
+
+            async def one():
+                with contextlib.suppress(ports.UpstreamError):
+                    answers.append(await attempt(memory.upstream()))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one)
+                nursery.start_soon(one)
+            return answers[0]
+
+    async with trio.open_nursery() as nursery:
+        _, upstreams, (entry,) = await open_entries(memory, nursery)
+        entry.once.steerer = Hedging()
+        await entry.handle(order())
+        nursery.cancel_scope.cancel()
+    assert upstreams.by_key == {KEY: 1}
+
+
 class Schedule:
     """Random callers, losses, crashes and upstream faults from one seed."""
 
