--- a/src/guavapulley/steering/_lending.py
+++ b/src/guavapulley/steering/_lending.py
@@ -28,6 +28,9 @@
 KEPT_PART = 0.5
 # Requests of borrowers end within this multiple of the mean time.
 DRAIN_FACTOR = 3.0
+# Weight of each update in the mean need, which spans about 2.5 s. Lending for
+# single bursts made lenders wait for their own slots.
+MEAN_NEED_WEIGHT = 0.1
 
 
 @attrs.define
@@ -39,7 +42,8 @@
         limit: Own slots that may be used now.
         full_at_s: Time from which all own slots may be used again.
         wanting_since_s: Time since which more than the own slots is claimed.
-        need: Own requests running or waiting.
+        need: Slots for the own requests that run or wait.
+        mean_need: The same, averaged.
     """
 
     slots: int
@@ -49,6 +53,7 @@
     need: _windows.PeakWindow = attrs.field(
         factory=lambda: _windows.PeakWindow(NEED_WINDOW_S)
     )
+    mean_need: float = 0.0
 
 
 class Lending:
@@ -82,8 +87,17 @@
             return
         self.quotas = dict(quotas)
         self.changed_at_s = now_s
+        # Claims under the old division would look like needs or surpluses.
+        self.others.clear()
         own = self.quotas.get(self.entry, 0)
-        self.claim = Claim(own, own, need=self.claim.need)
+        # Lent slots may be in use until their borrowers know the division.
+        self.claim = attrs.evolve(
+            self.claim,
+            slots=own,
+            limit=min(own, self.claim.limit),
+            full_at_s=now_s + self.settings.hold_s,
+            wanting_since_s=math.inf,
+        )
 
     def hear(
         self, entries: Sequence[model.EntryRecord], key: str, now_s: float
@@ -122,7 +136,8 @@
         highest = claim.need.value(now_s)
         if now_s >= claim.full_at_s:
             claim.limit = max(claim.limit, min(own, claim.slots))
-        if need > own and self.entry in self.residents:
+        claim.mean_need += MEAN_NEED_WEIGHT * (need - claim.mean_need)
+        if claim.mean_need > own and self.entry in self.residents:
             self._claim_more(own, mean_s, now_s)
         elif (
             highest <= own * LEND_BELOW
@@ -133,6 +148,8 @@
             claim.slots, claim.limit = kept, kept
             claim.wanting_since_s = math.inf
         elif highest <= own or claim.slots < own:
+            # Also when nobody needs them any more: they are then ready before
+            # the load of this entry rises.
             self._take_back(own, mean_s, now_s)
             claim.slots = own
             claim.wanting_since_s = math.inf
@@ -157,6 +174,13 @@
             if name in self.residents
         )
 
+    def published(self, now_s: float) -> int | None:
+        """Returns the claim to gossip, or None for exactly the own slots.
+
+        An entry that has just started may believe that all slots are its own.
+        """
+        return self.claim.slots if self._settled(now_s) else None
+
     def _settled(self, now_s: float) -> bool:
         return now_s >= self.changed_at_s + self.settings.ownership_delay_s
 
