Test entries with real control replicas and real processes

Cause: entries were tested only against stubs of control. Change: three control replicas, two entries and two simulated upstreams; one order sent to two entries, the leader killed, and an entry stopped by SIGTERM under six callers.

--- /dev/null
+++ b/tests/integration/test_entries.py
@@ -0,0 +1,165 @@
+"""Guards requests through entries against crashes of control and stops.
+
+Real control and entry processes on loopback behind the fault proxy, on real
+time; the upstreams are simulated in the process of the test.
+"""
+
+import collections
+import functools
+import json
+import signal
+import time
+
+import pytest
+import trio
+import urllib3
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley.adapters import clock
+from guavapulley.programs import _stand_in
+from tests.integration import deployment
+
+pytestmark = pytest.mark.processes
+
+REGIONS = ("pb", "za", "tn")
+SERVICES = """\
+[service stock]
+class = short
+[service orders]
+class = once
+"""
+# Target after the loss of the leader, and one claim.
+NEW_LEADER_S = 6.0
+# Two renewals and some rounds of gossip, on a busy machine.
+KNOWN_S = 10.0
+
+
+class Callers:
+    """Calls entries in threads."""
+
+    def __init__(self, system):
+        self.system = system
+        self.http = urllib3.PoolManager(maxsize=32, retries=False, timeout=8)
+
+    async def call(self, entry, method, path, **headers):
+        """Returns status and body; a status of 0 means no whole answer."""
+        url = f"http://{self.system.nodes[entry].http}{path}"
+        named = {k.replace("_", "-"): v for k, v in headers.items()}
+        send = functools.partial(
+            self.http.request, method, url, headers=named, body=b"1"
+        )
+        try:
+            reply = await trio.to_thread.run_sync(send)
+        except urllib3.exceptions.NewConnectionError:
+            return -1, b"refused"
+        except urllib3.exceptions.HTTPError as error:
+            return 0, repr(error).encode()
+        return reply.status, reply.data
+
+    async def order(self, entry, key):
+        return await self.call(
+            entry,
+            "POST",
+            "/s/orders/x",
+            Guavapulley_Idempotency_Key=key,
+            Guavapulley_Key_Created=str(time.time()),
+        )
+
+
+async def start(system):
+    """Starts three control replicas, two entries and two upstreams."""
+    for number in range(2):
+        await system.add(
+            f"entry-{number}", "entry", REGIONS[number], 21 + number
+        )
+    await system.start_control(REGIONS)
+    (system.folder / "services.ini").write_text(SERVICES)
+    status, output = await system.operate("apply", "services.ini")
+    assert status == 0, output
+    async with trio.open_nursery() as nursery:
+        for node in system.of_role("entry"):
+            nursery.start_soon(system.start, node.name)
+    upstreams = {}
+    for service in ("stock", "orders"):
+        record = model.UpstreamRecord(
+            f"{service}-1",
+            service,
+            model.NodeAddress("127.0.0.1", 0),
+            "pb",
+            "pb-1",
+            slots=6,
+            max_connections=60,
+            incarnation=clock.unix_time_ms(),
+        )
+        told = _stand_in.StandInSettings(
+            record,
+            tuple(node.http for node in system.of_role("entry")),
+            service_time_s=0.005,
+            token=deployment.TOKENS["upstream.token"],
+        )
+        run = functools.partial(
+            _stand_in.run_stand_in, told, ports.NullEventLog()
+        )
+        upstreams[service] = await system.nursery.start(run)
+    await system.eventually(lambda: ready(system), KNOWN_S, "entries are ready")
+    return upstreams
+
+
+def ready(system):
+    found = [system.status(node) or {} for node in system.of_role("entry")]
+    return all(
+        status.get("state") == "confirmed"
+        and len(status["entries"]) == 2
+        and len(status["upstreams"]) == 2
+        for status in found
+    )
+
+
+async def test_orders_run_once_across_entries_and_a_lost_leader(system):
+    upstreams = await start(system)
+    callers = Callers(system)
+    replies = [
+        await callers.order(f"entry-{number}", "k1") for number in range(2)
+    ]
+    assert [status for status, _ in replies] == [200, 200], replies
+    await system.kill(system.leader().name)
+    started_s = trio.current_time()
+    # A refused order can be sent again at once, an unknown one must not be.
+    status, body = 0, b""
+    number = 1
+    while status != 200 and trio.current_time() < started_s + NEW_LEADER_S:
+        number += 1
+        status, body = await callers.order("entry-1", f"k{number}")
+        if status not in (200, 0):
+            assert json.loads(body)["not_run"], body
+    assert status == 200, body
+    status, body = await callers.call("entry-0", "GET", "/s/stock/x")
+    assert status == 200, body
+    executions = upstreams["orders"].executions
+    assert max(executions.values()) == 1
+    assert executions["k1"] == 1
+
+
+async def test_stopped_entry_cuts_no_request_and_exits_with_zero(system):
+    # Takes 12 s, because callers may use a lookup for 10 s.
+    await start(system)
+    callers = Callers(system)
+    counts = collections.Counter()
+    process = system.nodes["entry-0"].process
+
+    async def read_until_refused():
+        while process.returncode is None:
+            status, body = await callers.call("entry-0", "GET", "/s/stock/x")
+            counts[status] += 1
+            assert status in (200, -1), body
+            await trio.sleep(0.02)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(6):
+            nursery.start_soon(read_until_refused)
+        await trio.sleep(1)
+        await system.kill("entry-0", signal.SIGTERM)
+    assert process.returncode == 0
+    assert counts[200] > 100
+    assert counts[0] == 0
