Compare each latency with the peers at the same time

Cause: a test in which the mix of requests changed for all upstreams alike excluded two of four, because windows of 7 samples turn over one after the other. Change: each sample is stored with its ratio to the median of the newest three latencies of each peer, and the median of the ratios decides. Conclusion: when most peers are slow at once, none is excluded.

--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -246,9 +246,7 @@
         own = slots.own[record.upstream]
         counted = own + slots.others_at(record.upstream, question.now_s)
         reported = _report_effect(upstream, counted, question)
-        ratio = work.state.peers(record.region).ratio(
-            record.upstream, question.now_s
-        )
+        ratio = work.state.peers(record.region).ratio(record.upstream)
         score = (counted + reported + 1) / record.slots * max(1.0, ratio)
         owned = own < slots.owned[record.upstream]
         score += 0.0 if owned else FOREIGN_SLOT_SCORE
--- a/src/guavapulley/steering/_latency.py
+++ b/src/guavapulley/steering/_latency.py
@@ -10,6 +10,7 @@
 from guavapulley.steering import _settings
 
 SAMPLES_PER_UPSTREAM = 7
+NEWEST_SAMPLES = 3
 # Older samples describe another mix of requests.
 SAMPLE_AGE_S = 30.0
 RECENT_LATENCIES = 512
@@ -32,40 +33,58 @@
     PROBING = "probing"
 
 
+@attrs.frozen
+class Sample:
+    """One measurement.
+
+    Attributes:
+        time_s: When it was made.
+        latency_s: Latency.
+        ratio: Latency as a multiple of that of the peers at the same time. A
+            changed mix of requests reaches all peers within a few requests,
+            so it changes the latencies but not the ratios.
+    """
+
+    time_s: float
+    latency_s: float
+    ratio: float
+
+
 @attrs.define
 class UpstreamLatency:
     """Latencies and probation of one upstream.
 
     Attributes:
         incarnation: Incarnation that was measured.
-        samples: Times and latencies in seconds, newest last.
+        samples: Measurements, newest last.
         failures: Failed attempts since the last answer; refused connections
             count twice.
         level: Probations since the last return to normal.
         excluded_until_s: End of the exclusion; None outside of a probation.
         good_probes: Probes of normal latency in this probation.
-        median_s: Median of the samples that were recent at the last sample.
+        newest_s: Median of the newest latencies.
+        ratio: Median of the ratios to the peers.
     """
 
     incarnation: int = 0
-    samples: collections.deque[tuple[float, float]] = attrs.field(
+    samples: collections.deque[Sample] = attrs.field(
         factory=lambda: collections.deque(maxlen=SAMPLES_PER_UPSTREAM)
     )
     failures: int = 0
     level: int = 0
     excluded_until_s: float | None = None
     good_probes: int = 0
-    median_s: float = 0.0
-
-    def recent(self, now_s: float) -> list[float]:
-        """Returns the latencies that are not too old."""
-        oldest = now_s - SAMPLE_AGE_S
-        return [latency for time, latency in self.samples if time >= oldest]
-
-    def add(self, now_s: float, latency_s: float) -> None:
-        """Adds a sample."""
-        self.samples.append((now_s, latency_s))
-        self.median_s = statistics.median(self.recent(now_s))
+    newest_s: float = 0.0
+    ratio: float = 1.0
+
+    def add(self, sample: Sample) -> None:
+        """Adds a sample and forgets those that are too old."""
+        self.samples.append(sample)
+        while self.samples[0].time_s < sample.time_s - SAMPLE_AGE_S:
+            self.samples.popleft()
+        newest = list(self.samples)[-NEWEST_SAMPLES:]
+        self.newest_s = statistics.median(s.latency_s for s in newest)
+        self.ratio = statistics.median(s.ratio for s in self.samples)
 
     def standing(self, now_s: float) -> Standing:
         """Returns the standing at a time."""
@@ -109,7 +128,7 @@
             del self.upstreams[name]
 
     def typical_s(self, now_s: float, without: str = "") -> float | None:
-        """Returns the median of the medians of the upstreams.
+        """Returns the median of the newest latencies of the upstreams.
 
         Args:
             now_s: Now.
@@ -117,17 +136,17 @@
         """
         oldest = now_s - SAMPLE_AGE_S
         medians = [
-            state.median_s
+            state.newest_s
             for name, state in self.upstreams.items()
             if name != without
             and state.samples
-            and state.samples[-1][0] >= oldest
+            and state.samples[-1].time_s >= oldest
         ]
         if len(medians) < MIN_PEERS:
             return None
         return statistics.median(medians)
 
-    def ratio(self, upstream: str, now_s: float) -> float:
+    def ratio(self, upstream: str) -> float:
         """Returns the latency as a multiple of that of the peers.
 
         1 is returned while there are too few samples to tell.
@@ -135,8 +154,7 @@
         state = self.upstreams.get(upstream)
         if not state or len(state.samples) < self.settings.min_slow_samples:
             return 1.0
-        typical = self.typical_s(now_s, upstream)
-        return state.median_s / typical if typical else 1.0
+        return state.ratio
 
     def hedge_delay_s(self) -> float | None:
         """Returns the time after which a request is slow for its peers."""
@@ -192,20 +210,18 @@
 
     def _sampled(self, upstream: str, now_s: float, latency_s: float) -> None:
         state = self.upstreams[upstream]
-        state.add(now_s, latency_s)
-        standing = state.standing(now_s)
         typical = self.typical_s(now_s, upstream)
-        if typical is None:
-            return
-        limit = typical * self.settings.slow_factor
+        ratio = latency_s / typical if typical else 1.0
+        state.add(Sample(now_s, latency_s, ratio))
+        standing = state.standing(now_s)
+        limit = self.settings.slow_factor
         if standing is Standing.PROBING:
-            self._probed(state, now_s, slow=latency_s > limit)
+            self._probed(state, now_s, slow=ratio > limit)
         elif standing is Standing.NORMAL:
-            recent = state.recent(now_s)
-            slow = sum(1 for sample in recent if sample > limit)
+            slow = sum(sample.ratio > limit for sample in state.samples)
             if (
                 slow >= self.settings.min_slow_samples
-                and state.median_s > limit
+                and state.ratio > limit
                 and self._may_exclude(state)
             ):
                 self._exclude(state, now_s)
--- a/tests/steering/test_slots.py
+++ b/tests/steering/test_slots.py
@@ -109,3 +109,45 @@
         await trio.sleep(3)
         nursery.cancel_scope.cancel()
     assert most == 8
+
+
+@pytest.mark.parametrize(
+    ("objects", "first_seen_s", "expected"),
+    [
+        ((), 0.0, 12),
+        ((model.RegionLimit("pb", max_in_flight=5),), 0.0, 5),
+        # New 8 s after the start of the entry; 2 s later one slot is open.
+        ((), 8.0, 4),
+    ],
+)
+async def test_limits_of_a_region_and_slow_start(
+    objects, first_seen_s, expected, autojump_clock
+):
+    service = model.Service("s", model.TrafficClass.SHORT, deadline_ms=60_000)
+    view = stubs.View(
+        [stubs.record(f"u{n}") for n in range(4)],
+        (service, *objects),
+        first_seen_s=first_seen_s,
+    )
+    running, most = 0, 0
+
+    async def attempt(upstream):
+        nonlocal running, most
+        running += 1
+        most = max(most, running)
+        await trio.sleep(1)
+        running -= 1
+
+    steerer = stubs.make_steerer(view)
+    started_s = trio.current_time()
+    view.first_seen_s += started_s
+    steerer.claims()
+    await trio.sleep(10)
+    async with trio.open_nursery() as nursery:
+        for number in range(40):
+            nursery.start_soon(
+                steerer.run, stubs.request(number), service, attempt
+            )
+        await trio.sleep(0.9)
+        nursery.cancel_scope.cancel()
+    assert most == expected
