Let the caller of run_control say when it stops

Cause: a demonstration runs several roles in one process, where a signal is for the whole. Change: run_control takes what to wait for, as run_entry does. Conclusion: signals stay the default.

--- a/src/guavapulley/programs/_control.py
+++ b/src/guavapulley/programs/_control.py
@@ -1,5 +1,7 @@
 """The control role."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import random
@@ -83,6 +85,7 @@
 
 async def run_control(
     loaded: settings.ProcessSettings,
+    wait_to_stop: Callable[[], Awaitable[object]] = _process.wait_for_signal,
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -90,6 +93,7 @@
 
     Args:
         loaded: Settings of the process.
+        wait_to_stop: Returns when the replica is to stop.
         task_status: Started when both ports listen.
 
     Raises:
@@ -122,8 +126,8 @@
             await _serve_operators(nursery, context, frontend)
             context.events.write("control:started")
             task_status.started()
-            number = await _process.wait_for_signal()
-            context.events.write("control:stopping", signal=number)
+            await wait_to_stop()
+            context.events.write("control:stopping")
             nursery.cancel_scope.cancel()
 
 
