--- a/src/guavapulley/steering/_catalog.py
+++ b/src/guavapulley/steering/_catalog.py
@@ -139,6 +139,58 @@
     return found
 
 
+def demand_by_region(
+    service: model.Service,
+    region: str,
+    upstreams: Sequence[Labelled],
+    intents: Sequence[model.Intent],
+) -> dict[str, float]:
+    """Returns which part of the requests of an entry goes to each region.
+
+    Only the labels that all requests of a service at an entry have are known
+    here, so an intent that asks for others counts as not matching.
+
+    Args:
+        service: The service.
+        region: Region of the entry.
+        upstreams: Upstreams of the service.
+        intents: Intents from the highest priority down.
+    """
+    labels = {
+        "service": service.name,
+        "class": service.traffic_class.value,
+        "region": region,
+    }
+    rest = 1.0
+    demand: dict[str, float] = {}
+    for intent in intents:
+        if not selectors.parse(intent.requests).matches(labels):
+            continue
+        part = rest * intent.share_percent / 100
+        rest -= part
+        for target, weight in _targets(intent, region, upstreams).items():
+            demand[target] = demand.get(target, 0.0) + part * weight
+    if rest > 0:
+        demand[region] = demand.get(region, 0.0) + rest
+    return demand
+
+
+def _targets(
+    intent: model.Intent, region: str, upstreams: Sequence[Labelled]
+) -> dict[str, float]:
+    """Returns the regions to which an intent sends, with their parts."""
+    selector = selectors.parse(intent.upstreams)
+    slots: dict[str, float] = {}
+    for upstream in upstreams:
+        if upstream.usable and selector.matches(upstream.labels):
+            target = upstream.region
+            slots[target] = slots.get(target, 0) + upstream.known.record.slots
+    if region in slots:
+        return {region: 1.0}
+    total = sum(slots.values())
+    return {target: count / total for target, count in slots.items() if total}
+
+
 def chosen_intent(
     request: model.SteeredRequest, intents: Sequence[model.Intent]
 ) -> model.Intent | None:
--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -183,7 +183,10 @@
     """Excludes upstreams without a slot for this entry."""
     state = question.work.state
     use = state.slots.use_of(
-        upstream, state.service.traffic_class, question.now_s
+        upstream,
+        state.service.traffic_class,
+        question.now_s,
+        directed=question.work.intent is not None,
     )
     return "slots" if use is None else None
 
--- a/src/guavapulley/steering/_division.py
+++ b/src/guavapulley/steering/_division.py
@@ -23,10 +23,22 @@
 
 @attrs.frozen
 class Claimant:
-    """An entry that gets slots."""
+    """An entry that gets slots.
+
+    Attributes:
+        entry: Its name.
+        region: Its region.
+        demand: Part of its requests that goes to each region; None means that
+            all of them go to its own region.
+    """
 
     entry: str
     region: str
+    demand: Mapping[str, float] | None = None
+
+    def demands(self) -> Mapping[str, float]:
+        """Returns the part of its requests that goes to each region."""
+        return {self.region: 1.0} if self.demand is None else self.demand
 
 
 @attrs.frozen
@@ -45,8 +57,8 @@
     """Divides all slots among the claimants.
 
     Each claimant is entitled to an equal part of all slots. It gets it from
-    its own region as far as that has enough, and the rest from regions that
-    have slots left over, such as when its own region has failed.
+    the regions of its demand as far as they have enough, and the rest from
+    regions that have slots left over, such as when its own region has failed.
 
     >>> owned = divide(
     ...     [Divisible("a", "pb", 3), Divisible("b", "za", 3)],
@@ -90,18 +102,22 @@
         return {}
     fair = sum(capacities.values()) / len(claimants)
     left = {region: float(slots) for region, slots in capacities.items()}
-    residents: dict[str, int] = {}
+    wanted: dict[str, float] = {}
     for claimant in claimants:
-        residents[claimant.region] = residents.get(claimant.region, 0) + 1
+        for region, part in claimant.demands().items():
+            wanted[region] = wanted.get(region, 0.0) + part
     quotas: dict[tuple[str, str], float] = {}
     lacking: dict[str, float] = {}
     for claimant in claimants:
-        region = claimant.region
-        near = min(fair, capacities.get(region, 0) / residents[region])
-        quotas[claimant.entry, region] = near
-        lacking[claimant.entry] = fair - near
-        if region in left:
-            left[region] -= near
+        lacking[claimant.entry] = fair
+        for region, part in claimant.demands().items():
+            if region not in left or part <= 0:
+                continue
+            slots = capacities[region] * part / wanted[region]
+            quota = min(fair * part, slots)
+            quotas[claimant.entry, region] = quota
+            lacking[claimant.entry] -= quota
+            left[region] -= quota
     total = sum(lacking.values())
     if total <= 0:
         return quotas
--- a/src/guavapulley/steering/_services.py
+++ b/src/guavapulley/steering/_services.py
@@ -97,11 +97,20 @@
             self.settings.slow_start_s,
             now_s,
         )
+        intents = configuration.intents()
+        homes = {e.region for e in self.seen_entries} | {self.region}
+        demands = {
+            home: _catalog.demand_by_region(
+                self.service, home, self.upstreams, intents
+            )
+            for home in homes
+        }
         key = (
             divisible,
             [(e.name, e.region) for e in self.seen_entries],
             limits,
             self.service.traffic_class,
+            demands,
         )
         if key == self.division_key:
             return
@@ -113,6 +122,7 @@
             self.service.traffic_class,
             self.mean_s,
             now_s,
+            demands,
         )
 
     def _measure_stretch(self) -> None:
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -78,6 +78,7 @@
         traffic_class: model.TrafficClass,
         mean_s: float,
         now_s: float,
+        demands: Mapping[str, Mapping[str, float]] | None = None,
     ) -> None:
         """Divides the slots anew after a change of upstreams or entries.
 
@@ -89,6 +90,8 @@
             mean_s: Mean time of a request; slots that change hands are used
                 only after their last requests have ended.
             now_s: Now.
+            demands: Part of the requests of the entries of a region that goes
+                to each region; by default all stay in their own.
         """
         settle_s = self.settings.ownership_delay_s
         settle_s += _lending.DRAIN_FACTOR * mean_s
@@ -111,7 +114,10 @@
         claimants[self.entry] = self.region
         everyone = _division.divide(
             divisible,
-            [_division.Claimant(e, r) for e, r in claimants.items()],
+            [
+                _division.Claimant(e, r, (demands or {}).get(r))
+                for e, r in claimants.items()
+            ],
             shared,
         )
         regions = {u.upstream: u.region for u in divisible}
@@ -242,8 +248,17 @@
         upstream: _catalog.Labelled,
         traffic_class: model.TrafficClass,
         now_s: float,
+        *,
+        directed: bool = False,
     ) -> Use | None:
-        """Returns how a request may use an upstream, or None for not now."""
+        """Returns how a request may use an upstream, or None for not now.
+
+        Args:
+            upstream: The upstream.
+            traffic_class: Class of the request.
+            now_s: Now.
+            directed: Whether an intent allows the request only some upstreams.
+        """
         name, region = upstream.name, upstream.region
         bulk = traffic_class is model.TrafficClass.BULK
         if bulk and not self._has_room(region, now_s):
@@ -262,7 +277,7 @@
         if within or (short and self._may_burst(region, now_s)):
             return Use.SHARED
         full = own_here + self.others_at(name, now_s) >= slots
-        if full or not self._may_borrow(region, now_s):
+        if full or not self._may_borrow(region, now_s, directed=directed):
             return None
         return Use.BORROWED
 
@@ -305,14 +320,15 @@
         used = self.others_in(region, now_s) + self.own_use(region)
         return used + 1 <= self.capacities[region]
 
-    def _may_borrow(self, region: str, now_s: float) -> bool:
+    def _may_borrow(self, region: str, now_s: float, *, directed: bool) -> bool:
         """Returns whether an entry may go beyond its part of a region."""
         own = self.own_use(region)
         if not self._has_room(region, now_s):
             return False
-        if own == 0 and (region == self.region or not self.owned):
-            # An entry that has just started, or that owns no slot, must be
-            # able to serve one request at a time.
+        if own == 0 and (region == self.region or directed or not self.owned):
+            # An entry that has just started, or that owns no slot where its
+            # requests must go, must be able to serve one at a time; else a
+            # shift refuses work until its slots have changed hands.
             return True
         limit = self.limit(region, now_s) + self.lending[region].borrowable(
             now_s
