Test answered commands on the shortest logs of a majority

Cause: random schedules saw an acknowledgement before the sync too rarely. Change: a test in which one fast disk lets a command be answered before the others have synced, and all replicas then crash; a fault of the schedules that crashes all replicas at once; the waiting function is now used, so that a follower whose disk failed no longer waits for ever; the schedules end with distinct commands, as a repeat after a time-out may be applied twice. Conclusion: the syncs that carry the guarantees are now tested sharply.

--- a/src/guavapulley/consensus/_follower.py
+++ b/src/guavapulley/consensus/_follower.py
@@ -105,12 +105,7 @@
         self._store(request.entries)
         match = request.previous_index + len(request.entries)
         state.commit(min(request.commit_index, match))
-        await state.journal.synced.wait_until(
-            lambda: (
-                state.journal.synced_index >= match
-                or state.term != request.term
-            )
-        )
+        await self._wait_synced(match, request.term)
         if request.term != state.term:
             return self._refusal()
         return model.AppendEntriesReply(state.term, True, match)
@@ -191,12 +186,7 @@
         received = self._collect(request)
         if received == request.total:
             self._install(request)
-            await state.journal.synced.wait_until(
-                lambda: (
-                    state.journal.synced_index >= request.index
-                    or state.term != request.term
-                )
-            )
+            await self._wait_synced(request.index, request.term)
             state.leader_contact_s = trio.current_time()
         return model.InstallSnapshotReply(state.term, received)
 
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -112,12 +112,15 @@
                 node.error = group.exceptions[0]
         node.scope = None
 
-    async def crash(self, node, *, lose_disk=False):
-        if node.scope is not None:
-            node.scope.cancel()
-        await self.wait_for(lambda: node.scope is None)
-        if lose_disk:
-            node.disk = memory.MemoryDisk()
+    async def crash(self, *nodes, lose_disk=False):
+        """Crashes nodes at the same moment."""
+        for node in nodes:
+            if node.scope is not None:
+                node.scope.cancel()
+        await self.wait_for(lambda: all(n.scope is None for n in nodes))
+        for node in nodes:
+            if lose_disk:
+                node.disk = memory.MemoryDisk()
 
     def running(self):
         return [node for node in self.nodes if node.scope is not None]
--- a/tests/consensus/test_faults.py
+++ b/tests/consensus/test_faults.py
@@ -129,6 +129,28 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("seed", range(24))
+async def test_answered_command_survives_on_any_majority(
+    make_cluster, autojump_clock, nursery, seed
+):
+    cluster = await make_cluster(nursery, seed, max_sync_s=0.3).form()
+    leader = cluster.leader()
+    # One fast disk leaves the others unsynced when the command is answered.
+    fast = (
+        leader if seed % 2 else cluster.nodes[cluster.nodes.index(leader) - 1]
+    )
+    fast.replica.store.store.max_sync_s = 0
+    await leader.replica.propose(b"answered", 5)
+    await cluster.crash(*cluster.nodes)
+    survivors = sorted(
+        cluster.nodes, key=lambda node: len(node.disk.stored.entries)
+    )[:2]
+    await cluster.start(*survivors)
+    await cluster.propose(b"after")
+    assert payloads(cluster.leader()) == [b"answered", b"after"]
+    nursery.cancel_scope.cancel()
+
+
 async def test_majority_without_disks_never_serves(
     make_cluster, autojump_clock, nursery
 ):
--- a/tests/consensus/test_schedules.py
+++ b/tests/consensus/test_schedules.py
@@ -22,6 +22,7 @@
 FAULTS = [
     "crash",
     "crash",
+    "blackout",
     "restart",
     "restart",
     "wipe",
@@ -142,6 +143,9 @@
         self.trace.append((round(trio.current_time(), 3), fault, node.name))
         if fault == "crash":
             await cluster.crash(node)
+        elif fault == "blackout":
+            await cluster.crash(*cluster.nodes)
+            await cluster.start()
         elif fault == "restart" and node.scope is None:
             await cluster.start(node)
         elif fault == "wipe" and self.whole():
@@ -184,17 +188,29 @@
             if node.scope is None:
                 await cluster.start(node)
         with trio.fail_after(SETTLE_S):
-            # A repeat after a time-out could be applied twice.
-            await cluster.propose(b"last", timeout_s=SETTLE_S)
+            last = await self.propose_last()
             await cluster.wait_for(self.whole, SETTLE_S)
             await cluster.wait_for(
-                lambda: all(self.ended(node) for node in cluster.nodes)
+                lambda: all(
+                    [payload for _, payload in node.machine.applied][-1:]
+                    == [last]
+                    for node in cluster.nodes
+                )
             )
 
-    def ended(self, node):
-        return node.machine.applied[-1:] and (
-            node.machine.applied[-1][1] == b"last"
-        )
+    async def propose_last(self):
+        """Proposes until accepted, each time another command."""
+        for attempt in itertools.count():
+            payload = b"last %d" % attempt
+            leader = self.cluster.leader()
+            try:
+                if leader is not None:
+                    await leader.replica.propose(payload, 3)
+                    return payload
+            except consensus.ConsensusError:
+                pass
+            await trio.sleep(0.1)
+        raise AssertionError
 
 
 @pytest.mark.parametrize("seed", range(FIRST, LAST))
