--- a/src/guavapulley/adapters/disk/_segments.py
+++ b/src/guavapulley/adapters/disk/_segments.py
@@ -165,25 +165,29 @@
         self.sync(self.file.fileno())
 
     def _open(self) -> typing.BinaryIO:
-        if self.current is not None:
-            return self._path(self.current).open("ab")
-        self.current = self.closed[-1][0] + 1 if self.closed else 1
-        file = self._path(self.current).open("xb")
+        if self.current is None:
+            return self._create(1)
+        return self._path(self.current).open("ab")
+
+    def _create(self, number: int) -> typing.BinaryIO:
+        file = self._path(number).open("xb")
         _records.sync_folder(self.folder, self.sync)
+        self.current, self.current_max = number, 0
         return file
 
     def drop_through(self, index: int) -> None:
         """Removes files whose entries a snapshot covers, oldest first.
 
-        The present file takes no more records, so that it can be removed
-        after the next snapshot.
+        The present file takes no more records if it holds entries, so that it
+        can be removed by this snapshot or the next one. Its successor keeps
+        the counter.
         """
-        self.close()
-        if self.current is not None:
+        if self.current is not None and self.current_max:
+            self.close()
             self.closed.append((self.current, self.current_max))
-        self.current, self.current_max = None, 0
+            self.file = self._create(self.current + 1)
         removed = 0
-        while len(self.closed) > 1 and self.closed[0][1] <= index:
+        while self.closed and self.closed[0][1] <= index:
             number, _ = self.closed.pop(0)
             self._path(number).unlink()
             removed += 1
--- a/tests/adapters/disk/test_disk.py
+++ b/tests/adapters/disk/test_disk.py
@@ -119,8 +119,15 @@
         )
     ]
     await write(tmp_path, *steps)
+    # The one with the entries behind the snapshot, and the present one.
     assert len(segments(tmp_path)) <= 2
     assert len(list(tmp_path.glob("snapshot-*"))) == 1
+    await write(tmp_path, ("save_snapshot", snapshot(100)))
+    assert [path.stat().st_size for path in segments(tmp_path)] == [0]
+    await write(tmp_path, ("append", entries(101, 102)))
+    assert await load(tmp_path) == ports.StoredLog(
+        snapshot=snapshot(100), entries=entries(101, 102)
+    )
 
 
 @settings(max_examples=40, deadline=None)
