--- a/src/guavapulley/model/__init__.py
+++ b/src/guavapulley/model/__init__.py
@@ -1,5 +1,6 @@
 """Immutable data shared by all layers."""
 
+from guavapulley.model._configuration import OBJECT_KINDS
 from guavapulley.model._configuration import Change
 from guavapulley.model._configuration import ClientBlock
 from guavapulley.model._configuration import Configuration
@@ -20,10 +21,13 @@
 from guavapulley.model._messages import ClaimKey
 from guavapulley.model._messages import ClaimReply
 from guavapulley.model._messages import ClaimStatus
+from guavapulley.model._messages import ContactsReply
+from guavapulley.model._messages import EntryContact
 from guavapulley.model._messages import EntryKind
 from guavapulley.model._messages import EntryRecord
 from guavapulley.model._messages import EntryState
 from guavapulley.model._messages import ErrorReply
+from guavapulley.model._messages import GetContacts
 from guavapulley.model._messages import GetOutcome
 from guavapulley.model._messages import GetStatus
 from guavapulley.model._messages import Gossip
@@ -69,8 +73,12 @@
 from guavapulley.model._upstreams import UpstreamState
 
 __all__ = [
+    "ContactsReply",
+    "EntryContact",
+    "GetContacts",
     "MAX_LABELS",
     "MAX_LABEL_CHARS",
+    "OBJECT_KINDS",
     "Answer",
     "AnswerHead",
     "AppendEntries",
--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -270,13 +270,44 @@
     confirmed: bool
 
 
+@attrs.frozen
+class EntryContact:
+    """What a control replica last heard of an entry.
+
+    Attributes:
+        entry: Name of the entry.
+        revision: Revision in force at the entry.
+        age_s: Seconds since the contact.
+    """
+
+    entry: str
+    revision: int
+    age_s: float
+
+
+@attrs.frozen
+class GetContacts:
+    """Asks a control replica which entries watch it."""
+
+
+@attrs.frozen
+class ContactsReply:
+    """Answer to `GetContacts`."""
+
+    contacts: tuple[EntryContact, ...]
+
+
 class ClaimStatus(enum.StrEnum):
-    """Verdict on a claim."""
+    """Verdict on a claim.
+
+    `AGE_INVALID` refuses a key that is created in the future of the log.
+    """
 
     GRANTED = "granted"
     EXISTS = "exists"
     KEY_REUSED = "key_reused"
     EXPIRED = "expired"
+    AGE_INVALID = "age_invalid"
 
 
 @attrs.frozen
@@ -397,6 +428,9 @@
         state: What it says of itself.
         revision: Configuration revision in force.
         in_flight: Its requests in flight by upstream.
+        claims: Slots that it claims, by `SERVICE/REGION`; see steering.
+        suspected: Whether the sender of this copy suspects the entry; only
+            the entry itself acts on it, by raising its incarnation.
     """
 
     name: str
@@ -409,6 +443,8 @@
     state: EntryState
     revision: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
+    claims: dict[str, int] = attrs.field(factory=dict)
+    suspected: bool = False
 
 
 @attrs.frozen
@@ -454,6 +490,8 @@
     | _configuration.Verdict
     | WatchConfiguration
     | WatchReply
+    | GetContacts
+    | ContactsReply
     | ClaimKey
     | ClaimReply
     | RecordOutcome
