Log once requests and name the request in refusals

Cause: a merged timeline could not show what became of an order, and a refused request could not be found by its ID. Change: events for claimed, completed, unknown and not-run once requests with their upstream; refusals carry the header Guavapulley-Request-Id. Conclusion: each order can be followed by its request ID.

--- a/src/guavapulley/adapters/http/_entry_frontend.py
+++ b/src/guavapulley/adapters/http/_entry_frontend.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from guavapulley import errors
 from guavapulley import model
 from guavapulley import ports
 from guavapulley import serving
@@ -56,6 +57,7 @@
         services: What the front end calls.
         upstream_token: Bearer token of upstreams; empty needs none.
         operator_token: Bearer token of operators; empty needs none.
+        events: Receives refused requests.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         services: EntryServices,
         upstream_token: str = "",
         operator_token: str = "",
+        events: ports.EventLog | None = None,
     ) -> None:
         self.services = services
+        self.events = events or ports.NullEventLog()
         route = _routes.Route
         upstream = "/v1/upstreams/{}"
         self.router = _routes.Router(
@@ -91,9 +95,22 @@
     ) -> None:
         request = _steered(call)
         tagged = _TaggedReply(reply, request.request_id)
-        await self.services.requests.handle(
-            request, tagged, call.request.peer_host
-        )
+        try:
+            await self.services.requests.handle(
+                request, tagged, call.request.peer_host
+            )
+        except errors.GuavapulleyError as error:
+            if tagged.started:
+                raise
+            self.events.write(
+                "request:refused",
+                code=error.code,
+                request_id=request.request_id,
+                service=request.service,
+                not_run=getattr(error, "not_run", False),
+                reason=error.message,
+            )
+            await _errors.send_answer(tagged, _errors.error_answer(error))
 
     async def _look_up(
         self, call: _routes.Call, reply: ports.ReplyWriter
@@ -190,9 +207,11 @@
     def __init__(self, reply: ports.ReplyWriter, request_id: str) -> None:
         self.reply = reply
         self.request_id = request_id
+        self.started = False
 
     async def start(self, head: model.AnswerHead) -> None:
         """Sends status and headers; see `ports.ReplyWriter`."""
+        self.started = True
         name = _headers.REQUEST_ID
         others = (h for h in head.headers if h[0].lower() != name.lower())
         tagged = (*others, (name, self.request_id))
--- a/src/guavapulley/adapters/http/_exchange.py
+++ b/src/guavapulley/adapters/http/_exchange.py
@@ -140,9 +140,11 @@
             await self.writer.finish()
 
     def _report(self, code: str, error: Exception) -> None:
+        details = getattr(error, "details", {})
         self.events.write(
             "http:request_failed",
             code=code,
             path=self.request.path,
+            request_id=details.get("request_id", ""),
             reason=repr(error),
         )
--- a/src/guavapulley/programs/_entry.py
+++ b/src/guavapulley/programs/_entry.py
@@ -106,7 +106,10 @@
         """Runs all tasks; returns after a shutdown that cuts no request."""
         context, settings = self.context, self.context.settings
         frontend = http.EntryFrontend(
-            self.services, settings.upstream_token, settings.operator_token
+            self.services,
+            settings.upstream_token,
+            settings.operator_token,
+            context.events,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(
--- a/src/guavapulley/serving/_attempts.py
+++ b/src/guavapulley/serving/_attempts.py
@@ -67,6 +67,7 @@
     Attributes:
         ends_at_s: Deadline on trio's clock.
         uncertain: Attempts of which a byte can have reached an upstream.
+        upstream: Upstream of the last attempt; empty before the first.
         busy: Whether the only attempt of a once request is being made.
     """
 
@@ -85,6 +86,7 @@
         self.new_connection = new_connection
         self.uncertain = 0
         self.busy = False
+        self.upstream = ""
 
     @property
     def not_run(self) -> bool:
@@ -169,6 +171,7 @@
     async def _open(self, record: model.UpstreamRecord) -> ports.UpstreamAnswer:
         sent = HEAD_BYTES + len(self.request.body)
         out = await self._reserve(self.dispatcher.region, record.region, sent)
+        self.upstream = record.upstream
         # Counted before the send, because a cancelled one may have run.
         self.uncertain += 1
         try:
--- a/src/guavapulley/serving/_once.py
+++ b/src/guavapulley/serving/_once.py
@@ -161,12 +161,15 @@
         attempts: _attempts.Attempts,
         claim: model.ClaimKey,
     ) -> model.Answer:
+        self._note("once:claimed", claim, attempts)
         try:
             answer = await self._dispatch(service, attempts)
         except BaseException as error:
             if attempts.not_run:
+                self._note("once:not_run", claim, attempts)
                 await self._release(claim)
                 raise
+            self._note("once:unknown", claim, attempts)
             await self._record(claim, model.OutcomeKind.UNKNOWN)
             if not isinstance(error, errors.GuavapulleyError):
                 raise
@@ -176,6 +179,7 @@
                 not_run=False,
                 reason=error.code,
             ) from error
+        self._note("once:completed", claim, attempts)
         await self._record(claim, model.OutcomeKind.COMPLETED, answer)
         return answer
 
@@ -230,6 +234,17 @@
                     code=error.code,
                 )
 
+    def _note(
+        self, event: str, claim: model.ClaimKey, attempts: _attempts.Attempts
+    ) -> None:
+        self.events.write(
+            event,
+            key=claim.key,
+            request_id=attempts.request.request_id,
+            claim=claim.request_id,
+            upstream=attempts.upstream,
+        )
+
     def _lost(self, record: model.RecordOutcome) -> None:
         self.events.write(
             "once:outcome_not_recorded",
--- a/tests/adapters/http/test_entry_frontend.py
+++ b/tests/adapters/http/test_entry_frontend.py
@@ -258,6 +258,15 @@
     assert (found, json.loads(reply)["code"]) == (status, code)
 
 
+async def test_refusal_names_its_request():
+    async with entry() as (server, _, _):
+        _, head, body = await call(
+            server, "GET", "/s/none/x", "Guavapulley-Request-Id: r9\r\n"
+        )
+    assert "Guavapulley-Request-Id: r9" in head
+    assert json.loads(body)["details"]["request_id"] == "r9"
+
+
 async def test_upstream_announces_renews_and_leaves():
     async with entry() as (server, steerer, _):
         api = http.EntryApi([ADDRESS, server.address], "up")
