--- a/tests/control/conftest.py
+++ b/tests/control/conftest.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 import trio
+import trio._core._run as trio_run
 
 from guavapulley import consensus
 from guavapulley import control
@@ -65,6 +66,9 @@
 
     def __init__(self, nursery, seed):
         print(f"seed {seed}")  # shown by pytest when a test fails
+        # Makes a failure repeatable by its seed.
+        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+        trio_run._r.seed(seed)
         self.nursery, self.rng = nursery, random.Random(seed)
         self.network = memory.MemoryNetwork(
             lambda source, target: self.rng.uniform(0, 0.035)
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio._core._run as trio_run
 
 from guavapulley import membership
 from guavapulley import model
@@ -47,6 +48,9 @@
 
     def __init__(self, nursery, count, seed):
         print(f"seed {seed}")  # shown by pytest when a test fails
+        # Makes a failure repeatable by its seed.
+        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+        trio_run._r.seed(seed)
         self.nursery = nursery
         self.network = memory.MemoryNetwork(lambda source, target: 0.035)
         nursery.start_soon(self.network.run)
