--- a/bench/steering_run.py
+++ b/bench/steering_run.py
@@ -227,7 +227,15 @@
                 region=region,
                 labels={"service": load.service, "region": region},
             )
-            nursery.start_soon(self._caller, result, request, spec, draw)
+            # Own random numbers for each request give runs that are compared
+            # the same service times.
+            nursery.start_soon(
+                self._caller,
+                result,
+                request,
+                spec,
+                random.Random(f"{self.seed}/{request.request_id}"),
+            )
 
     async def _caller(
         self,
--- a/src/guavapulley/steering/_lending.py
+++ b/src/guavapulley/steering/_lending.py
@@ -2,11 +2,11 @@
 
 Counts of requests in flight reach other entries up to 2 s late, so an entry
 that borrowed on them would overrun a region when the owner's load returns.
-Entries therefore gossip claims. An entry that lacks slots claims
-more than it owns. An entry that needs few of its slots then claims only half of
-them and keeps to that claim from the moment at which it says so. It takes them
-back by claiming them and waiting until every borrower has heard of it. The
-slots that are not claimed are divided among the entries that lack slots.
+Entries therefore gossip claims. An entry that lacks slots claims more than it
+owns. An entry that needs few of its slots then claims only a quarter of them
+and keeps to that claim from the moment at which it says so. It takes them back
+by claiming them and waiting until every borrower has heard of it. The slots
+that are not claimed are divided among the entries that lack slots.
 """
 
 from collections.abc import Mapping
@@ -25,7 +25,7 @@
 NEED_WINDOW_S = 5.0
 # An entry lends when it needs at most this part of its slots.
 LEND_BELOW = 0.25
-KEPT_PART = 0.5
+KEPT_PART = 0.25
 # Requests of borrowers end within this multiple of the mean time.
 DRAIN_FACTOR = 3.0
 # Weight of each update in the mean need, which spans about 2.5 s. Lending for
--- a/tests/steering/test_slots.py
+++ b/tests/steering/test_slots.py
@@ -83,7 +83,8 @@
         }
         assert sum(limits.values()) <= 16
         most = {n: max(most[n], limits[n]) for n in most}
-    assert min(most.values()) == 12
+    # Its own 8 and all but a quarter of the other 8.
+    assert min(most.values()) == 14
 
 
 async def test_bulk_work_leaves_a_slot_of_the_region_free(autojump_clock):
