--- a/src/guavapulley/model/_messages.py
+++ b/src/guavapulley/model/_messages.py
@@ -78,7 +78,12 @@
 
 @attrs.frozen
 class RequestVote:
-    """Asks for a vote; `pre_vote` only asks whether it would be given."""
+    """Asks for a vote; `pre_vote` only asks whether it would be given.
+
+    Attributes:
+        target: Replica ID that is asked. A VM that lost its disk listens on the
+            address of its old identity and must not answer for it.
+    """
 
     cluster_id: str
     term: int
@@ -86,6 +91,7 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    target: str = ""
 
 
 @attrs.frozen
@@ -98,7 +104,12 @@
 
 @attrs.frozen
 class AppendEntries:
-    """Replicates entries; without entries it is the heartbeat."""
+    """Replicates entries; without entries it is the heartbeat.
+
+    Attributes:
+        target: Replica ID that is addressed; see `RequestVote`.
+        quorum_age_s: Seconds since the leader knew of a quorum.
+    """
 
     cluster_id: str
     term: int
@@ -107,6 +118,8 @@
     previous_term: int
     entries: tuple[LogEntry, ...]
     commit_index: int
+    target: str = ""
+    quorum_age_s: float = 0.0
 
 
 @attrs.frozen
@@ -133,6 +146,7 @@
     Attributes:
         offset: Position of this chunk in the encoded snapshot.
         total: Bytes of the encoded snapshot.
+        target: Replica ID that is addressed; see `RequestVote`.
     """
 
     cluster_id: str
@@ -143,6 +157,7 @@
     offset: int
     total: int
     data: bytes
+    target: str = ""
 
 
 @attrs.frozen
@@ -255,13 +270,44 @@
     confirmed: bool
 
 
+@attrs.frozen
+class EntryContact:
+    """What a control replica last heard of an entry.
+
+    Attributes:
+        entry: Name of the entry.
+        revision: Revision in force at the entry.
+        age_s: Seconds since the contact.
+    """
+
+    entry: str
+    revision: int
+    age_s: float
+
+
+@attrs.frozen
+class GetContacts:
+    """Asks a control replica which entries watch it."""
+
+
+@attrs.frozen
+class ContactsReply:
+    """Answer to `GetContacts`."""
+
+    contacts: tuple[EntryContact, ...]
+
+
 class ClaimStatus(enum.StrEnum):
-    """Verdict on a claim."""
+    """Verdict on a claim.
+
+    `AGE_INVALID` refuses a key that is created in the future of the log.
+    """
 
     GRANTED = "granted"
     EXISTS = "exists"
     KEY_REUSED = "key_reused"
     EXPIRED = "expired"
+    AGE_INVALID = "age_invalid"
 
 
 @attrs.frozen
@@ -383,6 +429,8 @@
         revision: Configuration revision in force.
         in_flight: Its requests in flight by upstream.
         claims: Slots that it claims, by `SERVICE/REGION`; see steering.
+        suspected: Whether the sender of this copy suspects the entry; only
+            the entry itself acts on it, by raising its incarnation.
     """
 
     name: str
@@ -396,6 +444,7 @@
     revision: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
     claims: dict[str, int] = attrs.field(factory=dict)
+    suspected: bool = False
 
 
 @attrs.frozen
@@ -441,6 +490,8 @@
     | _configuration.Verdict
     | WatchConfiguration
     | WatchReply
+    | GetContacts
+    | ContactsReply
     | ClaimKey
     | ClaimReply
     | RecordOutcome
