Add the demonstration of all roles in one process

Cause: a first look at the system should need one command. Change: `guavapulley demo` runs three control replicas, three entries and nine simulated upstreams on free loopback ports, applies steering, drains a region, and sends one order twice. The data folder is closed when control ends, so that the same process can open it again.

--- a/src/guavapulley/programs/_cli.py
+++ b/src/guavapulley/programs/_cli.py
@@ -57,6 +57,7 @@
 
 _COMMANDS: tuple[click.Command, ...] = (
     _cli_roles.control,
+    _cli_roles.demo,
     _cli_roles.entry,
     _cli_changes.apply,
     _cli_changes.diff,
--- a/src/guavapulley/programs/_cli_roles.py
+++ b/src/guavapulley/programs/_cli_roles.py
@@ -2,12 +2,14 @@
 
 import functools
 import pathlib
+import tempfile
 
 import click
 import trio
 
 from guavapulley.adapters import settings
 from guavapulley.programs import _control
+from guavapulley.programs import _demo
 from guavapulley.programs import _entry
 
 _settings_option = click.option(
@@ -62,3 +64,18 @@
     """Run the entry of this VM until SIGTERM or SIGINT."""
     loaded = settings.load_process_settings(path, settings.Role.ENTRY)
     trio.run(_entry.run_entry, loaded)
+
+
+@click.command()
+@click.option(
+    "--seconds",
+    type=click.FloatRange(min=0),
+    help="Stop this long after the tour; the default is at Ctrl-C.",
+)
+def demo(seconds: float | None) -> None:
+    """Run all roles and simulated upstreams in this process.
+
+    Uses free ports of the loopback address and a temporary folder.
+    """
+    with tempfile.TemporaryDirectory(prefix="guavapulley-demo-") as folder:
+        trio.run(_demo.run_demo, pathlib.Path(folder), seconds, click.echo)
--- a/src/guavapulley/programs/_control.py
+++ b/src/guavapulley/programs/_control.py
@@ -23,15 +23,16 @@
 
 
 def _replica(
-    context: _process.ProcessContext, machine: control.SteeringStateMachine
+    context: _process.ProcessContext,
+    store: disk.DataFolder,
+    machine: control.SteeringStateMachine,
 ) -> consensus.Replica:
     loaded = context.settings
-    assert loaded.data_folder is not None
     return consensus.Replica(
         loaded.node,
         loaded.announced_peer,
         loaded.control_peers,
-        disk.DataFolder(loaded.data_folder, context.messages),
+        store,
         context.dialer,
         context.messages,
         machine,
@@ -45,8 +46,12 @@
 def _built(
     loaded: settings.ProcessSettings,
 ) -> Iterator[tuple[_process.ProcessContext, control.ControlService]]:
+    assert loaded.data_folder is not None
     with (
         _process.process_context(loaded) as context,
+        contextlib.closing(
+            disk.DataFolder(loaded.data_folder, context.messages)
+        ) as store,
         _groups.single_error(),
     ):
         machine = control.SteeringStateMachine(
@@ -55,7 +60,7 @@
         yield (
             context,
             control.ControlService(
-                _replica(context, machine),
+                _replica(context, store, machine),
                 machine,
                 context.messages,
                 context.dialer,
