Test the two stalls that random schedules found directly

Cause: the default seeds of the schedules do not meet these stalls. Change: two tests that arrange the delays and the crash. Conclusion: the fixes are guarded without luck.

--- a/tests/consensus/test_faults.py
+++ b/tests/consensus/test_faults.py
@@ -242,3 +242,52 @@
     cluster.heal()
     await cluster.wait_for(lambda: payloads(old) == [b"a"])
     nursery.cancel_scope.cancel()
+
+
+async def test_entries_that_overtake_their_predecessor_are_sent_again(
+    make_cluster, autojump_clock, nursery
+):
+    cluster = await make_cluster(nursery, 9).form()
+    leader = cluster.leader()
+    node = next(item for item in cluster.nodes if item is not leader)
+    await leader.replica.read_index(1)
+    # The first entry arrives late, and the refusal of the second one after
+    # the first one has been acknowledged.
+    delays = {
+        (leader.address, node.address): [0.2],
+        (node.address, leader.address): [0.3],
+    }
+    cluster.network.delay_s = lambda *pair: (delays.get(pair) or [0.001]).pop()
+    for payload in (b"first", b"second"):
+        nursery.start_soon(leader.replica.propose, payload, 5)
+        await trio.sleep(0.01)
+    await trio.sleep(1)
+    assert not any(delays.values())
+    assert payloads(node) == [b"first", b"second"]
+    nursery.cancel_scope.cancel()
+
+
+async def test_leader_lost_while_it_makes_a_learner_a_voter(
+    make_cluster, autojump_clock, nursery
+):
+    cluster = await make_cluster(nursery, 10).form()
+    cluster.network.delay_s = lambda source, target: 0.03
+    leader = cluster.leader()
+    wiped, other = (node for node in cluster.nodes if node is not leader)
+    await cluster.crash(wiped, lose_disk=True)
+    await cluster.start(wiped)
+
+    def voters(node):
+        members = node.replica.status().replicas.members
+        return sum(member.voter for member in members)
+
+    await cluster.wait_for(lambda: voters(leader) == 4)
+    cluster.cut_one_way(leader, wiped)
+    await cluster.wait_for(lambda: voters(other) == 4)
+    await cluster.crash(leader)
+    assert voters(wiped) == 3
+    cluster.heal()
+    await cluster.start(leader)
+    await cluster.propose(b"after")
+    await cluster.wait_for(lambda: cluster.all_voters(3))
+    nursery.cancel_scope.cancel()
