--- a/src/guavapulley/adapters/http/_server.py
+++ b/src/guavapulley/adapters/http/_server.py
@@ -1,7 +1,5 @@
 """Serves HTTP with cheroot, one trio task for each request."""
 
-import functools
-
 import trio
 
 from guavapulley import errors
@@ -83,14 +81,10 @@
             ) from error
         server = HttpServer(cheroot)
         task_status.started(server)
-        loop = functools.partial(
-            trio.to_thread.run_sync,
-            cheroot.serve,
-            limiter=server.limiter,
-            abandon_on_cancel=True,
-        )
         try:
-            await loop()
+            await trio.to_thread.run_sync(
+                cheroot.serve, limiter=server.limiter, abandon_on_cancel=True
+            )
             # The loop ends before the last requests are answered.
             await server.stop()
         finally:
--- a/src/guavapulley/programs/_entry.py
+++ b/src/guavapulley/programs/_entry.py
@@ -130,16 +130,7 @@
                     limits=self.options.limits,
                 )
             )
-            nursery.start_soon(self.gossiper.run)
-            nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.services.once.record_late)
-            nursery.start_soon(
-                serving.renew_leases,
-                settings.node,
-                self.control,
-                self.links,
-                context.events,
-            )
+            self._start_tasks(nursery)
             task_status.started(server)
             await self._present()
             await serving.shut_down(
@@ -153,6 +144,18 @@
         self.client.close()
         await self.control.aclose()
 
+    def _start_tasks(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self.gossiper.run)
+        nursery.start_soon(self.follower.run)
+        nursery.start_soon(self.services.once.record_late)
+        nursery.start_soon(
+            serving.renew_leases,
+            self.context.settings.node,
+            self.control,
+            self.links,
+            self.context.events,
+        )
+
     async def _present(self) -> None:
         """Tells the other entries of this one until it is to stop."""
         async with trio.open_nursery() as nursery:
