Pace requests to other regions

Cause: in a failover all requests that fit on the way started at once; regions momentarily held up to 200 % (line-status) and 187 % (stock) of their slots, although no second was above capacity. Change: requests to another region start at the rate of the own part, with a burst of one for each slot. The new test fails without the change.

--- a/src/guavapulley/steering/_services.py
+++ b/src/guavapulley/steering/_services.py
@@ -120,6 +120,7 @@
         home = self.peers(self.region)
         if home.floor_s is None or home.middle_s is None:
             return
+        self.slots.service_s = home.middle_s
         for region, peers in self.latencies.items():
             if region != self.region and peers.floor_s is not None:
                 way_s = max(0.0, peers.floor_s - home.floor_s)
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -65,6 +65,10 @@
         self.means: collections.defaultdict[str, _windows.DecayingMean] = (
             collections.defaultdict(lambda: _windows.DecayingMean(BURST_MEAN_S))
         )
+        self.next_start_s: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
+        self.service_s = 0.0
         self.slots: dict[str, int] = {}
         self.capacities: dict[str, int] = {}
         self.headroom: dict[str, float] = {}
@@ -233,6 +237,20 @@
         """
         return 1.0 if region == self.region else self.stretches[region]
 
+    def _is_paced(self, region: str, now_s: float) -> bool:
+        """Returns whether a request to another region has to wait its turn.
+
+        Without pacing, all the requests that fit on the way could start at
+        once and would arrive together (generic cell rate algorithm).
+        """
+        return self.next_start_s[region] - now_s > self.service_s
+
+    def _pace(self, region: str) -> None:
+        now_s = trio.current_time()
+        spacing_s = self.service_s / max(1, self.limit(region, now_s))
+        start_s = max(self.next_start_s[region], now_s)
+        self.next_start_s[region] = start_s + spacing_s
+
     def own_use(self, region: str) -> float:
         """Returns the slots of a region that the own requests take."""
         return self.own_by_region[region] / self.stretch(region)
@@ -249,6 +267,8 @@
         if bulk and not self._has_room(region, now_s):
             return None
         stretch = self.stretch(region)
+        if stretch > 1 and self._is_paced(region, now_s):
+            return None
         own_here = self.own[name] / stretch
         own = self.own_use(region)
         within = own + 1 / stretch <= self.limit(region, now_s)
@@ -323,6 +343,8 @@
         """Counts a request at an upstream until the hold is released."""
         self.own[upstream] += 1
         self.count(region, 1)
+        if self.stretch(region) > 1:
+            self._pace(region)
         return Hold(self, upstream, region)
 
     def count(self, region: str, step: int) -> None:
--- a/tests/steering/test_slots.py
+++ b/tests/steering/test_slots.py
@@ -152,3 +152,34 @@
         await trio.sleep(0.9)
         nursery.cancel_scope.cancel()
     assert most == expected
+
+
+async def test_requests_to_another_region_do_not_start_all_at_once(
+    autojump_clock,
+):
+    service = model.Service("s", model.TrafficClass.SHORT)
+    far = [stubs.record(f"far{n}", "za", "za1") for n in range(4)]
+    steerer = stubs.make_steerer(stubs.View(far, (service,)))
+    steerer.claims()
+    state = steerer.services["s"]
+    # Each slot fits 5 requests on the way; a request is served for 10 ms.
+    state.slots.stretches["za"] = 5.0
+    state.slots.service_s = 0.01
+    started = []
+
+    async def attempt(upstream):
+        started.append(trio.current_time())
+        await trio.sleep(0.05)
+
+    await trio.sleep(3)
+    async with trio.open_nursery() as nursery:
+        for number in range(60):
+            nursery.start_soon(
+                steerer.run, stubs.request(number), service, attempt
+            )
+    in_10_ms = max(
+        sum(first <= s < first + 0.01 for s in started) for first in started
+    )
+    # One burst of the 12 slots, and the 12 of the following 10 ms.
+    assert in_10_ms <= 24
+    assert len(started) == 60
