Keep the point of a request below 1, and sort intents once

Cause: a 64-bit hash divided by 2**64 can round to 1.0, which divides by zero after an intent with a share of 100 %; intents were sorted for each request. Change: 53 bits of the hash; intents are kept until the configuration changes.

--- a/src/guavapulley/steering/_catalog.py
+++ b/src/guavapulley/steering/_catalog.py
@@ -152,7 +152,9 @@
         request: The request with all its labels.
         intents: Intents from the highest priority down.
     """
-    point = xxhash.xxh64_intdigest(request.request_id.encode()) / 2**64
+    # 53 bits are exact in a float; all 64 could be rounded up to 1.
+    digest = xxhash.xxh64_intdigest(request.request_id.encode())
+    point = (digest >> 11) / 2**53
     for intent in intents:
         if not selectors.parse(intent.requests).matches(request.labels):
             continue
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -106,17 +106,12 @@
             )
             for region in self.capacities
         }
-        shared = dict(self.capacities)
-        if traffic_class is model.TrafficClass.BULK:
-            for region, slots in shared.items():
-                if slots > SLOTS_PER_FREE_SLOT * self.settings.bulk_free_slots:
-                    shared[region] = slots - self.settings.bulk_free_slots
         claimants = {e.name: e.region for e in entries}
         claimants[self.entry] = self.region
         everyone = _division.divide(
             divisible,
             [_division.Claimant(e, r) for e, r in claimants.items()],
-            shared,
+            self._shared(traffic_class),
         )
         regions = {u.upstream: u.region for u in divisible}
         self.owned = collections.Counter(
@@ -126,6 +121,16 @@
             self._divide_region(region, everyone, claimants, regions, now_s)
             self.quotas[region].span_s = settle_s
 
+    def _shared(self, traffic_class: model.TrafficClass) -> dict[str, int]:
+        """Returns the slots of each region that are divided."""
+        shared = dict(self.capacities)
+        free = self.settings.bulk_free_slots
+        if traffic_class is model.TrafficClass.BULK:
+            for region, slots in shared.items():
+                if slots > SLOTS_PER_FREE_SLOT * free:
+                    shared[region] = slots - free
+        return shared
+
     def _divide_region(
         self,
         region: str,
--- a/src/guavapulley/steering/_steerer.py
+++ b/src/guavapulley/steering/_steerer.py
@@ -57,6 +57,8 @@
         self.placement = _placement.Placement(
             view, region, random, self.settings, links
         )
+        self.seen_configuration: model.Configuration | None = None
+        self.intents: list[model.Intent] = []
         self.history = _decisions.History(self.settings.history)
 
     async def run(
@@ -136,8 +138,11 @@
         self, request: model.SteeredRequest, service: model.Service
     ) -> _choice.Work:
         state = self._state(service)
-        intents = self.view.configuration().intents()
-        intent = _catalog.chosen_intent(request, intents)
+        configuration = self.view.configuration()
+        if configuration is not self.seen_configuration:
+            self.seen_configuration = configuration
+            self.intents = configuration.intents()
+        intent = _catalog.chosen_intent(request, self.intents)
         decision = _decisions.Decision(
             request.request_id, service.name, intent.name if intent else ""
         )
