--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -65,6 +65,10 @@
         self.means: collections.defaultdict[str, _windows.DecayingMean] = (
             collections.defaultdict(lambda: _windows.DecayingMean(BURST_MEAN_S))
         )
+        self.next_start_s: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
+        self.service_s = 0.0
         self.slots: dict[str, int] = {}
         self.capacities: dict[str, int] = {}
         self.headroom: dict[str, float] = {}
@@ -105,11 +109,6 @@
             )
             for region in self.capacities
         }
-        shared = dict(self.capacities)
-        if traffic_class is model.TrafficClass.BULK:
-            for region, slots in shared.items():
-                if slots > SLOTS_PER_FREE_SLOT * self.settings.bulk_free_slots:
-                    shared[region] = slots - self.settings.bulk_free_slots
         claimants = {e.name: e.region for e in entries}
         claimants[self.entry] = self.region
         everyone = _division.divide(
@@ -118,7 +117,7 @@
                 _division.Claimant(e, r, (demands or {}).get(r))
                 for e, r in claimants.items()
             ],
-            shared,
+            self._shared(traffic_class),
         )
         regions = {u.upstream: u.region for u in divisible}
         self.owned = collections.Counter(
@@ -128,6 +127,16 @@
             self._divide_region(region, everyone, claimants, regions, now_s)
             self.quotas[region].span_s = settle_s
 
+    def _shared(self, traffic_class: model.TrafficClass) -> dict[str, int]:
+        """Returns the slots of each region that are divided."""
+        shared = dict(self.capacities)
+        free = self.settings.bulk_free_slots
+        if traffic_class is model.TrafficClass.BULK:
+            for region, slots in shared.items():
+                if slots > SLOTS_PER_FREE_SLOT * free:
+                    shared[region] = slots - free
+        return shared
+
     def _divide_region(
         self,
         region: str,
@@ -239,6 +248,20 @@
         """
         return 1.0 if region == self.region else self.stretches[region]
 
+    def _is_paced(self, region: str, now_s: float) -> bool:
+        """Returns whether a request to another region has to wait its turn.
+
+        Without pacing, all the requests that fit on the way could start at
+        once and would arrive together (generic cell rate algorithm).
+        """
+        return self.next_start_s[region] - now_s > self.service_s
+
+    def _pace(self, region: str) -> None:
+        now_s = trio.current_time()
+        spacing_s = self.service_s / max(1, self.limit(region, now_s))
+        start_s = max(self.next_start_s[region], now_s)
+        self.next_start_s[region] = start_s + spacing_s
+
     def own_use(self, region: str) -> float:
         """Returns the slots of a region that the own requests take."""
         return self.own_by_region[region] / self.stretch(region)
@@ -264,6 +287,8 @@
         if bulk and not self._has_room(region, now_s):
             return None
         stretch = self.stretch(region)
+        if stretch > 1 and self._is_paced(region, now_s):
+            return None
         own_here = self.own[name] / stretch
         own = self.own_use(region)
         within = own + 1 / stretch <= self.limit(region, now_s)
@@ -339,6 +364,8 @@
         """Counts a request at an upstream until the hold is released."""
         self.own[upstream] += 1
         self.count(region, 1)
+        if self.stretch(region) > 1:
+            self._pace(region)
         return Hold(self, upstream, region)
 
     def count(self, region: str, step: int) -> None:
