Keep deterministic scheduling inside the consensus tests

Cause: the fixture set a global flag of trio, which other packages' tests then ran with; the full run stopped at a steering scenario. Change: the fixture restores the flag. The full run was not repeated. Conclusion: the tests no longer depend on their order here.

--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -63,7 +63,6 @@
         self.nursery, self.rng = nursery, random.Random(seed)
         self.max_sync_s = max_sync_s
         # Makes a failure repeatable by its seed.
-        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
         trio_run._r.seed(seed)
         self.settings = consensus.ConsensusSettings(**sets)
         self.events = []
@@ -182,5 +181,6 @@
 
 
 @pytest.fixture
-def make_cluster():
+def make_cluster(monkeypatch):
+    monkeypatch.setattr(trio_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
     return Cluster
