Pool the samples of four seeds in the archive scenario test

Cause: the test compared the p99 of single runs of 3 s with about 1,500 samples. Change: four seeds with 6 s each are pooled; the bound stays 1.25, and every loaded run must still answer every read.

--- a/tests/steering/test_scenarios.py
+++ b/tests/steering/test_scenarios.py
@@ -12,6 +12,7 @@
 from bench import steering_scenarios as scenarios
 
 SEED = 1
+POOLED_SEEDS = (1, 2, 3, 4)
 ENTRIES = 8
 
 
@@ -24,7 +25,9 @@
     return attrs.evolve(deployment, entries=ENTRIES, services=services)
 
 
-def execute(deployment, utilisations, end_s, script=None, policy="steerer"):
+def execute(
+    deployment, utilisations, end_s, script=None, policy="steerer", seed=SEED
+):
     loads = [
         steering_run.Load(
             name,
@@ -35,7 +38,7 @@
         for name, utilisation in utilisations.items()
     ]
     return steering_run.Run(
-        deployment, policy, SEED, loads, end_s + scenarios.GRACE_S, script
+        deployment, policy, seed, loads, end_s + scenarios.GRACE_S, script
     ).execute()
 
 
@@ -44,16 +47,27 @@
         deployments.GALVANOVNA,
         **{"line-status": 3, "inspection-archive": 3},
     )
-    start_s, end_s = scenarios.WARM_UP_S, scenarios.WARM_UP_S + 3
+    start_s, end_s = scenarios.WARM_UP_S, scenarios.WARM_UP_S + 6
     status = {"line-status": 0.25}
-    idle = execute(deployment, status, end_s)
-    loaded = execute(deployment, status | {"inspection-archive": 2.0}, end_s)
-    waits = [
-        scenarios.p99_wait(result, "line-status", start_s)
-        for result in (idle, loaded)
-    ]
-    assert waits[1] <= 1.25 * waits[0]
-    assert all(s.latency_s is not None for s in loaded.of("line-status"))
+    waits = {"idle": [], "loaded": []}
+    # The p99 of one run of 3 s varied by a factor of 2.7 between seeds without
+    # any archive look-up, so the samples of several seeds are pooled.
+    for seed in POOLED_SEEDS:
+        idle = execute(deployment, status, end_s, seed=seed)
+        loaded = execute(
+            deployment, status | {"inspection-archive": 2.0}, end_s, seed=seed
+        )
+        waits["idle"] += waiting_times(idle, start_s)
+        waits["loaded"] += waiting_times(loaded, start_s)
+        assert all(s.latency_s is not None for s in loaded.of("line-status"))
+    p99 = {name: steering_run.quantile(w, 0.99) for name, w in waits.items()}
+    assert p99["loaded"] <= 1.25 * p99["idle"]
+
+
+def waiting_times(result, start_s):
+    """Returns the waiting times of the answered status reads."""
+    samples = result.of("line-status", start_s)
+    return [s.wait_s for s in samples if s.latency_s is not None]
 
 
 def test_slowed_upstreams_hardly_slow_the_reads():
