Route by the previous configuration while slots change hands

Ruled out: link shares and region limits, which were not among the reasons. Change: requests of the classes short and once that the new routing cannot place go by the previous one for 2 s, in slots that the entry owned.

--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -14,6 +14,7 @@
 from guavapulley import selectors
 from guavapulley.steering import _catalog
 from guavapulley.steering import _decisions
+from guavapulley.steering import _handover
 from guavapulley.steering import _latency
 from guavapulley.steering import _links
 from guavapulley.steering import _services
@@ -73,6 +74,7 @@
         links: Shares of links, if links are limited.
         near_only: Whether other regions are not considered yet.
         only_outliers: Whether every possible upstream is in probation.
+        previous: Routing to use instead of the one in force.
     """
 
     work: Work
@@ -82,6 +84,20 @@
     links: _links.LinkShares | None
     near_only: bool = False
     only_outliers: bool = False
+    previous: _handover.PreviousRouting | None = None
+
+    def intent(self) -> model.Intent | None:
+        """Returns the intent that takes the request, if any."""
+        if self.previous is None:
+            return self.work.intent
+        intents = self.previous.configuration.intents()
+        return _catalog.chosen_intent(self.work.request, intents)
+
+    def upstreams(self) -> Sequence[_catalog.Labelled]:
+        """Returns the upstreams with their labels."""
+        if self.previous is None:
+            return self.work.state.upstreams
+        return self.previous.upstreams
 
 
 class Rule(Protocol):
@@ -112,7 +128,7 @@
     upstream: _catalog.Labelled, question: Question
 ) -> str | None:
     """Excludes upstreams outside the selector of the intent."""
-    intent = question.work.intent
+    intent = question.intent()
     if intent is None:
         return None
     selector = selectors.parse(intent.upstreams)
@@ -182,6 +198,10 @@
 def free_slot(upstream: _catalog.Labelled, question: Question) -> str | None:
     """Excludes upstreams without a slot for this entry."""
     state = question.work.state
+    previous = question.previous
+    if previous is not None:
+        kept = state.slots.is_free(upstream, previous.owned, previous.limits)
+        return None if kept else "slots"
     use = state.slots.use_of(
         upstream,
         state.service.traffic_class,
@@ -301,7 +321,9 @@
     work = question.work
     state = work.state
     excluded: list[_decisions.Exclusion] = []
-    eligible = list(passing(state.upstreams, ELIGIBILITY, question, excluded))
+    eligible = list(
+        passing(question.upstreams(), ELIGIBILITY, question, excluded)
+    )
     normal = [
         u
         for u in eligible
--- a/src/guavapulley/steering/_placement.py
+++ b/src/guavapulley/steering/_placement.py
@@ -11,6 +11,7 @@
 from guavapulley import ports
 from guavapulley.steering import _choice
 from guavapulley.steering import _errors
+from guavapulley.steering import _handover
 from guavapulley.steering import _links
 from guavapulley.steering import _services
 from guavapulley.steering import _settings
@@ -121,7 +122,7 @@
             SteeringError: Waiting does not help.
         """
         work.state.refresh()
-        choice = _choice.choose(self._question(work), self.random)
+        choice = self._choose(work, None) or self._choose_previous(work)
         if choice is not None:
             choice.hold.on_release = work.state.wake
             return choice
@@ -135,14 +136,35 @@
             reasons=sorted(reasons),
         )
 
-    def _question(self, work: _choice.Work) -> _choice.Question:
-        return _choice.Question(
+    def _choose(
+        self,
+        work: _choice.Work,
+        previous: _handover.PreviousRouting | None,
+    ) -> _choice.Choice | None:
+        question = _choice.Question(
             work,
             trio.current_time(),
             self.region,
             self.view.detached(),
             self.links,
+            previous=previous,
         )
+        return _choice.choose(question, self.random)
+
+    def _choose_previous(self, work: _choice.Work) -> _choice.Choice | None:
+        """Chooses by the previous routing while slots change hands."""
+        previous = work.state.previous_routing(trio.current_time())
+        bulk = work.state.service.traffic_class is model.TrafficClass.BULK
+        # Bulk work can wait for its new slots, and would hold the old ones.
+        if previous is None or bulk:
+            return None
+        decision = work.decision
+        candidates, exclusions = decision.candidates, decision.exclusions
+        choice = self._choose(work, previous)
+        if choice is None:
+            # The reasons under the configuration in force are the answer.
+            decision.candidates, decision.exclusions = candidates, exclusions
+        return choice
 
     def too_late(
         self, work: _choice.Work, code: str = _errors.DEADLINE_EXCEEDED
--- a/src/guavapulley/steering/_services.py
+++ b/src/guavapulley/steering/_services.py
@@ -8,6 +8,7 @@
 from guavapulley import ports
 from guavapulley.steering import _budgets
 from guavapulley.steering import _catalog
+from guavapulley.steering import _handover
 from guavapulley.steering import _latency
 from guavapulley.steering import _settings
 from guavapulley.steering import _slots
@@ -63,6 +64,7 @@
         self.seen_upstreams: Sequence[ports.KnownUpstream] = ()
         self.seen_entries: Sequence[model.EntryRecord] = ()
         self.division_key: object = None
+        self.previous: _handover.PreviousRouting | None = None
 
     def refresh(self) -> None:
         """Takes over what changed in the view."""
@@ -76,6 +78,7 @@
         )
         new_entries = not _same_items(entries, self.seen_entries)
         if new_upstreams:
+            self._keep_routing(configuration, now_s)
             self.seen_configuration = configuration
             self.seen_upstreams = tuple(upstreams)
             self.upstreams = list(_catalog.labelled(upstreams, configuration))
@@ -89,6 +92,35 @@
         waiting = sum(lane.waiting for lane in self.lanes.values())
         self.slots.update_claims(waiting, self.mean_s, now_s)
 
+    def _keep_routing(
+        self, configuration: model.Configuration, now_s: float
+    ) -> None:
+        """Keeps the routing that a new configuration replaces."""
+        known = self.seen_configuration
+        if known is None or known is configuration:
+            return
+        if self.previous_routing(now_s) is not None:
+            # The slots of the first of several changes are the settled ones.
+            return
+        self.previous = _handover.PreviousRouting(
+            known,
+            self.upstreams,
+            self.slots.owned.copy(),
+            {
+                region: self.slots.limit(region, now_s)
+                for region in self.slots.quotas
+            },
+            now_s + _handover.HANDOVER_S,
+        )
+
+    def previous_routing(
+        self, now_s: float
+    ) -> _handover.PreviousRouting | None:
+        """Returns the routing before the last change, while it counts."""
+        if self.previous is not None and now_s >= self.previous.ends_at_s:
+            self.previous = None
+        return self.previous
+
     def _divide(self, configuration: model.Configuration, now_s: float) -> None:
         limits = _catalog.region_limits(configuration)
         divisible = _catalog.divisible(
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -306,6 +306,25 @@
             return None
         return Use.BORROWED
 
+    def is_free(
+        self,
+        upstream: _catalog.Labelled,
+        owned: Mapping[str, int],
+        limits: Mapping[str, int],
+    ) -> bool:
+        """Returns whether a slot of an earlier division is free.
+
+        Args:
+            upstream: The upstream.
+            owned: Own slots of that division, by upstream.
+            limits: Own slots that could be used, by region.
+        """
+        own_here = self.own[upstream.name] / self.stretch(upstream.region)
+        own = self.own_use(upstream.region)
+        return own_here < owned.get(upstream.name, 0) and own < limits.get(
+            upstream.region, 0
+        )
+
     def load(self, region: str, now_s: float) -> float:
         """Returns the part of the slots of a region known to be in use."""
         slots = self.capacities.get(region, 0)
