Show archive look-ups, the handover of a drain and the time line in the demo

Cause: the first look must show each class of service, the answers and the time line, and exit; the drain in it was made before any slot had settled, so 6 of 60 reads were refused and sent again. Change: one archive look-up, a wait for the slots before the drain, reads right after it and 3 s later, the time line; the script demo sets up and runs it.

--- a/src/guavapulley/programs/_demo.py
+++ b/src/guavapulley/programs/_demo.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import fnmatch
 import functools
 import math
 import pathlib
@@ -22,13 +23,24 @@
 from guavapulley.programs import _groups
 from guavapulley.programs import _process
 from guavapulley.programs import _stand_in
+from guavapulley.programs import _timeline
 
 HOST = "127.0.0.1"
 PORTS = range(20_000, 32_000)
 REGIONS = ("pb", "za", "tn")
 TOKEN_BYTES = 24
-UPSTREAMS_PER_REGION = {"line-status": 2, "batch-release": 1}
-SERVICE_TIME_S = {"line-status": 0.01, "batch-release": 0.05}
+UPSTREAMS_PER_REGION = {
+    "line-status": 2,
+    "batch-release": 1,
+    "inspection-archive": 1,
+}
+SERVICE_TIME_S = {
+    "line-status": 0.01,
+    "batch-release": 0.05,
+    "inspection-archive": 0.5,
+}
+# Failed first contacts of processes that start together say little.
+TIMELINE_EVENTS = ("replica:*", "configuration:applied", "configuration:dec*")
 SLOTS = 6
 MAX_CONNECTIONS = 30
 CALL_TIMEOUT_S = 20.0
@@ -196,6 +208,7 @@
         )
         entry = deployment.entries[0].http
         await _demo_tour.Tour(client, entry, upstreams, tell).run()
+        _tell_timeline(deployment.folder, tell)
         addresses = ",".join(map(str, deployment.control_addresses()))
         tell("")
         tell("Try it from another shell:")
@@ -213,6 +226,23 @@
         nursery.cancel_scope.cancel()
 
 
+def _tell_timeline(folder: pathlib.Path, tell: Callable[[str], None]) -> None:
+    """Shows the main events of all processes in causal order."""
+    tell("")
+    tell("The time line of leadership and configuration over all processes:")
+    readers = [
+        _timeline.LogReader(path) for path in sorted(folder.glob("*.log"))
+    ]
+    events = _timeline.merge(readers, _timeline.Filter())
+    shown = (
+        event
+        for event in events
+        if any(fnmatch.fnmatch(event.name, p) for p in TIMELINE_EVENTS)
+    )
+    for line in _timeline.text_lines(shown):
+        tell(f"  {line}")
+
+
 async def _start(
     nursery: trio.Nursery, deployment: Deployment
 ) -> list[_stand_in.StandIn]:
--- a/src/guavapulley/programs/_demo_tour.py
+++ b/src/guavapulley/programs/_demo_tour.py
@@ -27,6 +27,10 @@
 class = once
 deadline_ms = 10000
 
+[service inspection-archive]
+class = bulk
+deadline_ms = 30000
+
 [link pb za]
 cap_mbit_per_s = 280
 
@@ -42,6 +46,9 @@
 CALLERS = 6
 STEP_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.2
+SLOTS_SETTLED_S = 3.0
+# A drained upstream gets no new work after this time.
+DRAINED_S = 3.0
 CALL_TIMEOUT_S = 15.0
 # Time for which a caller sends a refused read again.
 PATIENCE_S = 5.0
@@ -100,14 +107,21 @@
         await self._until("in force", lambda: self._in_force(revision))
         await self._until("upstreams", self._announced)
         self.tell(f"{len(self.upstreams)} upstreams announced themselves.")
+        # Until then an entry serves one request at a time in its region, and
+        # has no settled slots that a drain could hand over.
+        await trio.sleep(SLOTS_SETTLED_S)
         await self._read("Status reads from pb were served in")
         revision = await self._change((DRAIN,), ())
         await self._until("in force", lambda: self._in_force(revision))
         self.tell(f"Revision {revision} drains the upstreams of pb.")
-        await self._read("Status reads from pb were then served in")
+        await self._read("Status reads right after it were served in")
+        await trio.sleep(DRAINED_S)
+        await self._read("Status reads 3 s later were served in")
         revision = await self._change((), (model.object_key(DRAIN),))
         self.tell(f"Revision {revision} ends the drain.")
         await self._order()
+        status = await self._send("GET", "/s/inspection-archive/1")
+        self.tell(f"An archive look-up was answered with status {status}.")
 
     async def _change(
         self,
