--- a/src/guavapulley/steering/_catalog.py
+++ b/src/guavapulley/steering/_catalog.py
@@ -1,6 +1,8 @@
 """Upstreams of a service under the configuration in force."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 
@@ -13,6 +15,8 @@
 from guavapulley.steering import _division
 
 DEFAULT_HEADROOM_PERCENT = 10.0
+# Regions with fewer slots have none to spare for other work.
+SLOTS_PER_FREE_SLOT = 4
 
 
 @attrs.frozen
@@ -139,6 +143,41 @@
     return found
 
 
+def headroom_percents(
+    regions: Iterable[str], limits: Mapping[str, model.RegionLimit]
+) -> dict[str, float]:
+    """Returns the part of the slots of each region to leave free."""
+    return {
+        region: (
+            limits[region].headroom_percent
+            if region in limits
+            else DEFAULT_HEADROOM_PERCENT
+        )
+        for region in regions
+    }
+
+
+def divided_slots(
+    capacities: Mapping[str, int],
+    traffic_class: model.TrafficClass,
+    bulk_free_slots: int,
+) -> dict[str, int]:
+    """Returns the slots of each region that are divided among entries.
+
+    Args:
+        capacities: Requests that each region may run at a time.
+        traffic_class: Class of the service.
+        bulk_free_slots: Slots that bulk work leaves free in a large region.
+    """
+    if traffic_class is not model.TrafficClass.BULK:
+        return dict(capacities)
+    least = SLOTS_PER_FREE_SLOT * bulk_free_slots
+    return {
+        region: slots - bulk_free_slots if slots > least else slots
+        for region, slots in capacities.items()
+    }
+
+
 def demand_by_region(
     service: model.Service,
     region: str,
--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -15,10 +15,10 @@
 from guavapulley.steering import _catalog
 from guavapulley.steering import _decisions
 from guavapulley.steering import _handover
+from guavapulley.steering import _hold
 from guavapulley.steering import _latency
 from guavapulley.steering import _links
 from guavapulley.steering import _services
-from guavapulley.steering import _slots
 
 # A load report can make an upstream look at most this much fuller, in
 # requests, because reports lag and mislead.
@@ -303,7 +303,7 @@
     """A chosen upstream, whose slot is already counted."""
 
     upstream: _catalog.Labelled
-    hold: _slots.Hold
+    hold: _hold.Hold
 
 
 def choose(question: Question, draw: random.Random) -> Choice | None:
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -1,23 +1,20 @@
 """Slots of the upstreams of one service, as one entry may use them."""
 
 import collections
-from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
 
-import attrs
 import trio
 
 from guavapulley import model
 from guavapulley.steering import _catalog
 from guavapulley.steering import _division
+from guavapulley.steering import _hold
 from guavapulley.steering import _lending
 from guavapulley.steering import _settings
 from guavapulley.steering import _windows
 
-# Regions with fewer slots have none to spare for other work.
-SLOTS_PER_FREE_SLOT = 4
 BURST_MEAN_S = 1.0
 
 
@@ -101,14 +98,7 @@
         settle_s += _lending.DRAIN_FACTOR * mean_s
         self.slots = {u.upstream: u.slots for u in divisible}
         self.capacities = _catalog.capacities(divisible, limits)
-        self.headroom = {
-            region: (
-                limits[region].headroom_percent
-                if region in limits
-                else _catalog.DEFAULT_HEADROOM_PERCENT
-            )
-            for region in self.capacities
-        }
+        self.headroom = _catalog.headroom_percents(self.capacities, limits)
         claimants = {e.name: e.region for e in entries}
         claimants[self.entry] = self.region
         everyone = _division.divide(
@@ -117,7 +107,9 @@
                 _division.Claimant(e, r, (demands or {}).get(r))
                 for e, r in claimants.items()
             ],
-            self._shared(traffic_class),
+            _catalog.divided_slots(
+                self.capacities, traffic_class, self.settings.bulk_free_slots
+            ),
         )
         regions = {u.upstream: u.region for u in divisible}
         self.owned = collections.Counter(
@@ -127,16 +119,6 @@
             self._divide_region(region, everyone, claimants, regions, now_s)
             self.quotas[region].span_s = settle_s
 
-    def _shared(self, traffic_class: model.TrafficClass) -> dict[str, int]:
-        """Returns the slots of each region that are divided."""
-        shared = dict(self.capacities)
-        free = self.settings.bulk_free_slots
-        if traffic_class is model.TrafficClass.BULK:
-            for region, slots in shared.items():
-                if slots > SLOTS_PER_FREE_SLOT * free:
-                    shared[region] = slots - free
-        return shared
-
     def _divide_region(
         self,
         region: str,
@@ -379,13 +361,13 @@
         )
         return own < limit
 
-    def take(self, upstream: str, region: str) -> "Hold":
+    def take(self, upstream: str, region: str) -> _hold.Hold:
         """Counts a request at an upstream until the hold is released."""
         self.own[upstream] += 1
         self.count(region, 1)
         if self.stretch(region) > 1:
             self._pace(region)
-        return Hold(self, upstream, region)
+        return _hold.Hold(self, upstream, region)
 
     def count(self, region: str, step: int) -> None:
         """Counts the start or end of an own request in a region."""
@@ -395,28 +377,3 @@
     def in_flight(self) -> Mapping[str, int]:
         """Returns the own requests by upstream."""
         return {name: count for name, count in self.own.items() if count > 0}
-
-
-@attrs.define
-class Hold:
-    """A slot in use by a request; a context manager that gives it back.
-
-    Attributes:
-        book: Book that counts it.
-        upstream: Upstream of the slot.
-        region: Region of the upstream.
-        on_release: Called after the slot was given back.
-    """
-
-    book: SlotBook
-    upstream: str
-    region: str
-    on_release: Callable[[], None] = lambda: None
-
-    def __enter__(self) -> "Hold":
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        self.book.own[self.upstream] -= 1
-        self.book.count(self.region, -1)
-        self.on_release()
--- /dev/null
+++ b/tests/adapters/clock/test_clock.py
@@ -0,0 +1,7 @@
+"""Guards against times in other units."""
+
+from guavapulley.adapters import clock
+
+
+def test_both_functions_give_the_same_time():
+    assert abs(clock.unix_time_ms() / 1_000 - clock.unix_time_s()) < 5
