--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -132,3 +132,29 @@
         if member["name"] == name and member["voter"]
     ]
     return found[0] if len(found) == 1 else None
+
+
+async def test_a_frozen_leader_is_replaced_and_takes_nothing_back(system):
+    await system.start_control(REGIONS)
+    assert (await apply_drain(system, "r1"))[0] == 0
+    frozen = system.leader().name
+    await system.kill(frozen, signal.SIGSTOP)
+    others = tuple(n.name for n in system.of_role("control"))
+    others = tuple(name for name in others if name != frozen)
+    started = trio.current_time()
+    status, output = await apply_drain(system, "r2", at=others)
+    assert status == 0, output
+    assert trio.current_time() - started <= NEW_LEADER_S + COMMAND_START_S
+    await system.kill(frozen, signal.SIGCONT)
+    revision = system.status(system.leader(without=frozen))["revision"]
+    await system.eventually(
+        lambda: (
+            (system.status(system.nodes[frozen]) or {}).get("revision", 0)
+            >= revision
+        ),
+        NEW_LEADER_S,
+        "the frozen replica catches up",
+    )
+    text = await shown(system, at=(frozen,))
+    assert "[drain r1]" in text
+    assert "[drain r2]" in text
