--- a/bench/entry_overhead.py
+++ b/bench/entry_overhead.py
@@ -29,7 +29,7 @@
 from guavapulley.adapters import nng
 from guavapulley.adapters import settings
 from guavapulley.programs import _entry
-from guavapulley.programs import _stand_in
+from guavapulley.programs import _simulated_upstream
 
 HOST = "127.0.0.1"
 KEY = b"cluster-key-of-this-benchmark"
@@ -119,10 +119,10 @@
         1_000,
         incarnation=clock.unix_time_ms(),
     )
-    told = _stand_in.StandInSettings(
+    told = _simulated_upstream.SimulatedUpstreamSettings(
         record, (address(found.entry),), service_time_s=0.0
     )
-    await _stand_in.run_stand_in(told, ports.NullEventLog())
+    await _simulated_upstream.run_simulated_upstream(told, ports.NullEventLog())
 
 
 @attrs.define
--- a/bench/process_load.py
+++ b/bench/process_load.py
@@ -97,7 +97,9 @@
     )
 
 
-async def start(system: deployment.Deployment) -> list[programs.StandIn]:
+async def start(
+    system: deployment.Deployment,
+) -> list[programs.SimulatedUpstream]:
     """Starts the processes and upstreams; returns those of the stock reads."""
     await system.start_control((REGION,))
     await system.start_entries((REGION, REGION))
--- a/src/guavapulley/programs/__init__.py
+++ b/src/guavapulley/programs/__init__.py
@@ -2,8 +2,13 @@
 
 from guavapulley.programs import _bootstrap  # noqa: F401
 from guavapulley.programs._cli import main
-from guavapulley.programs._stand_in import StandIn
-from guavapulley.programs._stand_in import StandInSettings
-from guavapulley.programs._stand_in import run_stand_in
+from guavapulley.programs._simulated_upstream import SimulatedUpstream
+from guavapulley.programs._simulated_upstream import SimulatedUpstreamSettings
+from guavapulley.programs._simulated_upstream import run_simulated_upstream
 
-__all__ = ["StandIn", "StandInSettings", "main", "run_stand_in"]
+__all__ = [
+    "SimulatedUpstream",
+    "SimulatedUpstreamSettings",
+    "main",
+    "run_simulated_upstream",
+]
--- a/src/guavapulley/programs/_cli_changes.py
+++ b/src/guavapulley/programs/_cli_changes.py
@@ -213,14 +213,14 @@
         CommandError: No majority confirmed it in time.
     """
     with trio.move_on_after(session.timeout_s):
-        told = False
+        reported = False
         while True:
             view = await session.client.configuration()
             if view.confirmed:
                 return view.configuration
-            if not told:
+            if not reported:
                 session.tell("waiting for a majority of the control replicas")
-                told = True
+                reported = True
             await trio.sleep(_session.POLL_INTERVAL_S)
     raise _exit.CommandError(
         _exit.CONFIGURATION_STALE,
--- a/src/guavapulley/programs/_demo.py
+++ b/src/guavapulley/programs/_demo.py
@@ -22,7 +22,7 @@
 from guavapulley.programs import _entry
 from guavapulley.programs import _groups
 from guavapulley.programs import _process
-from guavapulley.programs import _stand_in
+from guavapulley.programs import _simulated_upstream
 from guavapulley.programs import _timeline
 
 HOST = "127.0.0.1"
@@ -114,7 +114,9 @@
         """Returns the HTTP addresses of the control replicas."""
         return tuple(node.http for node in self.controls)
 
-    def upstreams(self) -> Iterator[_stand_in.StandInSettings]:
+    def upstreams(
+        self,
+    ) -> Iterator[_simulated_upstream.SimulatedUpstreamSettings]:
         """Yields the simulated upstreams."""
         entries = tuple(node.http for node in self.entries)
         for service, count in UPSTREAMS_PER_REGION.items():
@@ -130,7 +132,7 @@
                         MAX_CONNECTIONS,
                         labels={"rack": str(number)},
                     )
-                    yield _stand_in.StandInSettings(
+                    yield _simulated_upstream.SimulatedUpstreamSettings(
                         record,
                         entries,
                         service_time_s=SERVICE_TIME_S[service],
@@ -245,7 +247,7 @@
 
 async def _start(
     nursery: trio.Nursery, deployment: Deployment
-) -> list[_stand_in.StandIn]:
+) -> list[_simulated_upstream.SimulatedUpstream]:
     """Starts all processes and returns the simulated upstreams."""
     first = deployment.controls[0]
     # The others have not started, and their data folders are new.
@@ -255,7 +257,9 @@
     options = _entry.EntryOptions(wait_to_stop=trio.sleep_forever)
     for entry in deployment.entries:
         await nursery.start(_entry.run_entry, entry, options)
-    run = functools.partial(_stand_in.run_stand_in, events=ports.NullEventLog())
+    run = functools.partial(
+        _simulated_upstream.run_simulated_upstream, events=ports.NullEventLog()
+    )
     return [
         await nursery.start(run, upstream)
         for upstream in deployment.upstreams()
--- a/src/guavapulley/programs/_demo_tour.py
+++ b/src/guavapulley/programs/_demo_tour.py
@@ -15,7 +15,7 @@
 from guavapulley.adapters import http
 from guavapulley.adapters import settings
 from guavapulley.programs import _exit
-from guavapulley.programs import _stand_in
+from guavapulley.programs import _simulated_upstream
 from guavapulley.programs import _tables
 
 STEERING = """\
@@ -83,7 +83,7 @@
         self,
         client: http.AdminClient,
         entry: model.NodeAddress,
-        upstreams: Sequence[_stand_in.StandIn],
+        upstreams: Sequence[_simulated_upstream.SimulatedUpstream],
         tell: Callable[[str], None],
     ) -> None:
         self.client = client
@@ -152,7 +152,7 @@
                 if await done():
                     return
                 await trio.sleep(POLL_INTERVAL_S)
-        raise _failed(f"waited in vain for: {what}")
+        raise _failed(f"timed out waiting for: {what}")
 
     async def _in_force(self, revision: int) -> bool:
         found = await self.client.revision_status(revision)
@@ -167,7 +167,7 @@
         return len(found) == len(self.upstreams)
 
     async def _read(self, title: str) -> None:
-        before = {stand_in: stand_in.served for stand_in in self.upstreams}
+        before = {simulated: simulated.served for simulated in self.upstreams}
         reads: list[_Read] = []
 
         async def call() -> None:
@@ -178,9 +178,9 @@
             for _ in range(READS):
                 nursery.start_soon(call)
         served: dict[str, int] = {}
-        for stand_in, count in before.items():
-            region = stand_in.record.region
-            served[region] = served.get(region, 0) + stand_in.served - count
+        for simulated, count in before.items():
+            region = simulated.record.region
+            served[region] = served.get(region, 0) + simulated.served - count
         found = ", ".join(f"{name}: {n}" for name, n in served.items() if n)
         failed = sum(read.status != 200 for read in reads)
         refused = sum(read.refusals > 0 for read in reads)
@@ -213,7 +213,7 @@
             await self._send("POST", "/s/batch-release/batches", headers)
             for _ in range(2)
         ]
-        runs = sum(stand_in.executions[key] for stand_in in self.upstreams)
+        runs = sum(simulated.executions[key] for simulated in self.upstreams)
         self.tell(
             f"An order was sent twice with one key: status {statuses[0]}, then"
             f" {statuses[1]}; it ran {_tables.count(runs, 'time')}."
--- a/src/guavapulley/programs/_stand_in.py
+++ b/src/guavapulley/programs/_simulated_upstream.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen
-class StandInSettings:
+class SimulatedUpstreamSettings:
     """What a simulated upstream is like.
 
     Attributes:
@@ -49,7 +49,7 @@
     leave_grace_s: float = 3.0
 
 
-class StandIn:
+class SimulatedUpstream:
     """`ports.HttpHandler` of a simulated upstream.
 
     Attributes:
@@ -64,7 +64,7 @@
         last_arrival_s: Time at which the last request arrived.
     """
 
-    def __init__(self, settings: StandInSettings) -> None:
+    def __init__(self, settings: SimulatedUpstreamSettings) -> None:
         self.settings = settings
         self.record = settings.record
         self.slots = trio.Semaphore(settings.record.slots)
@@ -119,11 +119,11 @@
         return model.LoadReport(self.in_flight, self.waiting)
 
 
-async def run_stand_in(
-    settings: StandInSettings,
+async def run_simulated_upstream(
+    settings: SimulatedUpstreamSettings,
     events: ports.EventLog,
     leaving: trio.Event | None = None,
-    task_status: trio.TaskStatus[StandIn] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[SimulatedUpstream] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves, announces and renews until told to leave or cancelled.
 
@@ -133,26 +133,26 @@
         leaving: Set to let the upstream leave, finish its work and stop.
         task_status: Started with the upstream when it listens.
     """
-    stand_in = StandIn(settings)
+    simulated = SimulatedUpstream(settings)
     leaving = trio.Event() if leaving is None else leaving
     limits = http.HttpLimits(workers=2 * settings.record.slots + 4)
     async with trio.open_nursery() as nursery:
         serve = functools.partial(
             http.serve_http,
             settings.record.address,
-            stand_in,
+            simulated,
             events,
             limits=limits,
         )
         server = await nursery.start(serve)
-        stand_in.record = attrs.evolve(settings.record, address=server.address)
+        simulated.record = attrs.evolve(settings.record, address=server.address)
         api = http.EntryApi(settings.entries, settings.token)
-        task_status.started(stand_in)
+        task_status.started(simulated)
         if settings.entries:
-            await _announce_until(leaving, stand_in, api, events)
+            await _announce_until(leaving, simulated, api, events)
         else:
             await leaving.wait()
-        stand_in.left_at_s = trio.current_time()
+        simulated.left_at_s = trio.current_time()
         await trio.sleep(settings.leave_grace_s)
         await server.stop()
         api.close()
@@ -161,32 +161,32 @@
 
 async def _announce_until(
     leaving: trio.Event,
-    stand_in: StandIn,
+    simulated: SimulatedUpstream,
     api: http.EntryApi,
     events: ports.EventLog,
 ) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_keep_announced, stand_in, api, events)
+        nursery.start_soon(_keep_announced, simulated, api, events)
         await leaving.wait()
         nursery.cancel_scope.cancel()
-    await _reported(functools.partial(api.leave, stand_in.record), events)
+    await _reported(functools.partial(api.leave, simulated.record), events)
 
 
 async def _keep_announced(
-    stand_in: StandIn, api: http.EntryApi, events: ports.EventLog
+    simulated: SimulatedUpstream, api: http.EntryApi, events: ports.EventLog
 ) -> None:
     known = False
     while True:
         started_at_s = trio.current_time()
-        sequence = stand_in.record.sequence + 1
-        stand_in.record = attrs.evolve(stand_in.record, sequence=sequence)
-        record, load = stand_in.record, stand_in.load()
+        sequence = simulated.record.sequence + 1
+        simulated.record = attrs.evolve(simulated.record, sequence=sequence)
+        record, load = simulated.record, simulated.load()
         if not known:
             call = functools.partial(
                 api.announce, attrs.evolve(record, load=load)
             )
             known = await _reported(call, events)
-        elif stand_in.reporting:
+        elif simulated.reporting:
             call = functools.partial(api.renew, record, load)
             known = await _reported(call, events)
         await trio.sleep_until(started_at_s + RENEWAL_INTERVAL_S)
@@ -199,7 +199,7 @@
     try:
         await call()
     except http.ApiError as error:
-        events.write("stand_in:call_failed", reason=error.message)
+        events.write("simulated:call_failed", reason=error.message)
         return "status" in error.details and (
             error.details["status"] != UNKNOWN_STATUS
         )
--- a/src/guavapulley/steering/_lending.py
+++ b/src/guavapulley/steering/_lending.py
@@ -99,7 +99,7 @@
             wanting_since_s=math.inf,
         )
 
-    def hear(
+    def record_claims(
         self, entries: Sequence[model.EntryRecord], key: str, now_s: float
     ) -> None:
         """Takes over the claims that other entries gossip.
@@ -187,8 +187,8 @@
     def borrowable(self, now_s: float) -> int:
         """Returns the slots of other entries that may be used now."""
         since_s = self.claim.wanting_since_s
-        heard = now_s >= since_s + self.settings.hold_s
-        if not heard or not self._settled(now_s):
+        published = now_s >= since_s + self.settings.hold_s
+        if not published or not self._settled(now_s):
             return 0
         surplus, wanting = 0, [self.entry]
         for name, quota in self.quotas.items():
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -173,7 +173,7 @@
     ) -> None:
         """Takes over the counts that other entries gossip."""
         for region, lending in self.lending.items():
-            lending.hear(entries, f"{self.service}/{region}", now_s)
+            lending.record_claims(entries, f"{self.service}/{region}", now_s)
         others = [e for e in entries if e.name != self.entry]
         sums: collections.defaultdict[str, float] = collections.defaultdict(
             float
--- a/tests/adapters/http/test_entry_frontend.py
+++ b/tests/adapters/http/test_entry_frontend.py
@@ -12,7 +12,7 @@
 from guavapulley import ports
 from guavapulley import serving
 from guavapulley.adapters import http
-from guavapulley.programs import _stand_in
+from guavapulley.programs import _simulated_upstream
 
 SERVICES = (
     model.Service("stock", model.TrafficClass.SHORT),
@@ -161,15 +161,17 @@
                 task_status=task_status,
             )
         )
-        stand_in = await nursery.start(
-            lambda task_status: _stand_in.run_stand_in(
-                _stand_in.StandInSettings(record(port=0), answer_bytes=200_000),
+        simulated = await nursery.start(
+            lambda task_status: _simulated_upstream.run_simulated_upstream(
+                _simulated_upstream.SimulatedUpstreamSettings(
+                    record(port=0), answer_bytes=200_000
+                ),
                 events,
                 task_status=task_status,
             )
         )
-        registry.announce(stand_in.record)
-        yield server, steerer, stand_in
+        registry.announce(simulated.record)
+        yield server, steerer, simulated
         client.close()
         nursery.cancel_scope.cancel()
 
@@ -192,7 +194,7 @@
 
 @pytest.mark.parametrize("service", ["stock", "orders", "sync"])
 async def test_request_reaches_the_upstream_and_the_answer_is_whole(service):
-    async with entry() as (server, steerer, stand_in):
+    async with entry() as (server, steerer, simulated):
         status, head, body = await call(
             server,
             "POST",
@@ -201,7 +203,7 @@
             "Guavapulley-Deadline-Ms: 900\r\n",
             b"data",
         )
-        assert stand_in.served == 1
+        assert simulated.served == 1
     assert (status, len(body)) == (200, 200_000)
     assert head.count("Guavapulley-Request-Id: r7") == 1
     request = steerer.requests[0]
@@ -252,9 +254,9 @@
     ],
 )
 async def test_refusals(method, path, extra, body, status, code):
-    async with entry() as (server, _, stand_in):
+    async with entry() as (server, _, simulated):
         found, _, reply = await call(server, method, path, extra, body)
-        assert not stand_in.served
+        assert not simulated.served
     assert (found, json.loads(reply)["code"]) == (status, code)
 
 
--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -93,7 +93,7 @@
         self.proxy = fault_proxy.FaultProxy(nursery)
         self.nodes: dict[str, Node] = {}
         self.processes: list[trio.Process] = []
-        self.upstreams: dict[str, programs.StandIn] = {}
+        self.upstreams: dict[str, programs.SimulatedUpstream] = {}
         self.leaving: dict[str, trio.Event] = {}
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         for name, text in TOKENS.items():
@@ -219,16 +219,19 @@
 
     async def start_upstream(
         self, record: model.UpstreamRecord, service_time_s: float = 0.01
-    ) -> programs.StandIn:
+    ) -> programs.SimulatedUpstream:
         """Runs a simulated upstream inside the test."""
         entries = tuple(node.http for node in self.of_role("entry"))
         token = TOKENS["upstream.token"]
-        settings = programs.StandInSettings(
+        settings = programs.SimulatedUpstreamSettings(
             record, entries, service_time_s, token=token
         )
         leaving = self.leaving[record.upstream] = trio.Event()
         started = await self.nursery.start(
-            programs.run_stand_in, settings, ports.NullEventLog(), leaving
+            programs.run_simulated_upstream,
+            settings,
+            ports.NullEventLog(),
+            leaving,
         )
         self.upstreams[record.upstream] = started
         return started
--- a/tests/integration/test_entries.py
+++ b/tests/integration/test_entries.py
@@ -17,7 +17,7 @@
 from guavapulley import model
 from guavapulley import ports
 from guavapulley.adapters import clock
-from guavapulley.programs import _stand_in
+from guavapulley.programs import _simulated_upstream
 from tests.integration import deployment
 
 pytestmark = pytest.mark.processes
@@ -92,14 +92,16 @@
             max_connections=60,
             incarnation=clock.unix_time_ms(),
         )
-        told = _stand_in.StandInSettings(
+        told = _simulated_upstream.SimulatedUpstreamSettings(
             record,
             tuple(node.http for node in system.of_role("entry")),
             service_time_s=0.005,
             token=deployment.TOKENS["upstream.token"],
         )
         run = functools.partial(
-            _stand_in.run_stand_in, told, ports.NullEventLog()
+            _simulated_upstream.run_simulated_upstream,
+            told,
+            ports.NullEventLog(),
         )
         upstreams[service] = await system.nursery.start(run)
     await system.eventually(lambda: ready(system), KNOWN_S, "entries are ready")
--- a/tests/programs/test_entry.py
+++ b/tests/programs/test_entry.py
@@ -17,7 +17,7 @@
 from guavapulley.adapters import nng
 from guavapulley.adapters import settings
 from guavapulley.programs import _entry
-from guavapulley.programs import _stand_in
+from guavapulley.programs import _simulated_upstream
 from tests.programs import stub_control
 
 KEY = b"cluster-key-of-this-test"
@@ -98,11 +98,13 @@
             max_connections=40,
             incarnation=clock.unix_time_ms(),
         )
-        told = _stand_in.StandInSettings(
+        told = _simulated_upstream.SimulatedUpstreamSettings(
             record, (self.servers[0].address,), service_time_s=0.002
         )
         run = functools.partial(
-            _stand_in.run_stand_in, told, ports.NullEventLog()
+            _simulated_upstream.run_simulated_upstream,
+            told,
+            ports.NullEventLog(),
         )
         self.upstreams[service] = await self.nursery.start(run)
 
--- a/tests/steering/test_slots.py
+++ b/tests/steering/test_slots.py
@@ -56,7 +56,7 @@
 def heard(lending, name, slots, now_s):
     record = stubs.entry(name)
     record.claims["s/pb"] = slots
-    lending.hear([record], "s/pb", now_s)
+    lending.record_claims([record], "s/pb", now_s)
 
 
 @pytest.mark.parametrize("delay_s", [0.5, 2.0])
