Define key retention, detach time and default headroom once each

Cause: the retention of keys stood in serving and control, the time after which an entry is detached twice in control, and the default headroom three times; copies that drift apart would break at most once or the status of entries. Change: the retention is a constant of the model, control uses one detach time, and the default headroom is that of model.RegionLimit. Behaviour is unchanged. Conclusion: serving and control still each have the 10 s of the configuration lease, because control must not import serving.

--- a/src/guavapulley/control/_admin.py
+++ b/src/guavapulley/control/_admin.py
@@ -25,8 +25,6 @@
 STATUS_TIMEOUT_S = 1.0
 # An entry that made no contact for this long is cut off; a watch takes 2 s.
 CONTACT_LIMIT_S = 4.0
-# After this time without confirmation an entry sends nothing across regions.
-CONFIGURATION_LEASE_S = 10.0
 
 
 class EntryDirectory(Protocol):
@@ -255,7 +253,7 @@
     behind_s = None if contact.revision >= wanted else accepted_ago_s
     cut_off = contact.age_s > CONTACT_LIMIT_S
     # The clock of the entry may be slower than that of the replica.
-    lease_s = _leases.longest_s(CONFIGURATION_LEASE_S)
+    lease_s = _leases.longest_s(_leases.DETACHED_AFTER_S)
     left_s = max(0.0, lease_s - contact.age_s)
     return ports.EntryRevision(
         contact.entry,
--- a/src/guavapulley/control/_keys.py
+++ b/src/guavapulley/control/_keys.py
@@ -7,9 +7,9 @@
 from guavapulley import model
 from guavapulley import ports
 
-KEY_RETENTION_S = 24 * 3_600.0
+KEY_RETENTION_S = model.KEY_RETENTION_S
 # A key may be created by a clock that is this far ahead.
-MAX_KEY_AHEAD_S = 300.0
+MAX_KEY_AHEAD_S = model.MAX_KEY_AHEAD_S
 
 
 class KeyTable:
--- a/src/guavapulley/model/__init__.py
+++ b/src/guavapulley/model/__init__.py
@@ -57,6 +57,8 @@
 from guavapulley.model._replication import RequestVote
 from guavapulley.model._replication import RequestVoteReply
 from guavapulley.model._replication import Snapshot
+from guavapulley.model._requests import KEY_RETENTION_S
+from guavapulley.model._requests import MAX_KEY_AHEAD_S
 from guavapulley.model._requests import Answer
 from guavapulley.model._requests import AnswerHead
 from guavapulley.model._requests import Headers
@@ -73,6 +75,8 @@
 from guavapulley.model._upstreams import UpstreamState
 
 __all__ = [
+    "KEY_RETENTION_S",
+    "MAX_KEY_AHEAD_S",
     "ContactsReply",
     "EntryContact",
     "GetContacts",
--- a/src/guavapulley/model/_requests.py
+++ b/src/guavapulley/model/_requests.py
@@ -6,6 +6,11 @@
 
 from guavapulley.model import _upstreams
 
+# Idempotency keys are kept for this time; older ones are refused.
+KEY_RETENTION_S = 24 * 3_600.0
+# A key may be created by a clock that is this far ahead.
+MAX_KEY_AHEAD_S = 300.0
+
 Headers = tuple[tuple[str, str], ...]
 
 
--- a/src/guavapulley/programs/_world.py
+++ b/src/guavapulley/programs/_world.py
@@ -12,7 +12,6 @@
 KNOWN_LABELS = ("service", "class", "region")
 # Shares below this are rounding errors.
 LEAST_SHARE = 1e-9
-DEFAULT_HEADROOM_PERCENT = 10.0
 
 
 class World:
@@ -83,9 +82,7 @@
             for item in self.configuration.objects
             if isinstance(item, model.RegionLimit) and item.name == region
         )
-        default = model.RegionLimit(
-            region, headroom_percent=DEFAULT_HEADROOM_PERCENT
-        )
+        default = model.RegionLimit(region)
         return next(found, default)
 
 
--- a/src/guavapulley/serving/_keys.py
+++ b/src/guavapulley/serving/_keys.py
@@ -7,9 +7,9 @@
 from guavapulley.serving import _errors
 
 MAX_KEY_CHARS = 200
-KEY_RETENTION_S = 24 * 3_600.0
+KEY_RETENTION_S = model.KEY_RETENTION_S
 # Callers and entries need not agree on the time more closely than this.
-MAX_KEY_AHEAD_S = 300.0
+MAX_KEY_AHEAD_S = model.MAX_KEY_AHEAD_S
 _UUID_TIMESTAMP_SHIFT = 80
 
 
--- a/src/guavapulley/steering/_catalog.py
+++ b/src/guavapulley/steering/_catalog.py
@@ -14,7 +14,6 @@
 from guavapulley import selectors
 from guavapulley.steering import _division
 
-DEFAULT_HEADROOM_PERCENT = 10.0
 # Regions with fewer slots have none to spare for other work.
 SLOTS_PER_FREE_SLOT = 4
 
@@ -148,11 +147,7 @@
 ) -> dict[str, float]:
     """Returns the part of the slots of each region to leave free."""
     return {
-        region: (
-            limits[region].headroom_percent
-            if region in limits
-            else DEFAULT_HEADROOM_PERCENT
-        )
+        region: limits.get(region, model.RegionLimit(region)).headroom_percent
         for region in regions
     }
 
