Serve a counter and a gauge whose names have the same first part

Cause: prometheus_client reserves the name of a counter without its suffix in the registry, so that the gauge replica.snapshot_bytes could not be registered beside the counter replica.elections_won. Change: each type of metric has a registry of its own.

--- a/src/guavapulley/adapters/prometheus/_metrics.py
+++ b/src/guavapulley/adapters/prometheus/_metrics.py
@@ -23,7 +23,9 @@
 
     The part of a name after its first dot becomes the value of the label
     `kind`: `requests.503` is `guavapulley_requests_total{kind="503"}`. Counters
-    that are incremented with labels have these labels instead.
+    that are incremented with labels have these labels instead. A counter, a
+    gauge and a histogram may have the same part before the dot: the exported
+    names of counters end in `_total`, and those of histograms in `_seconds`.
 
     Args:
         read_gauges: Returns the values of gauges by name; called whenever the
@@ -34,7 +36,11 @@
         self, read_gauges: Callable[[], Mapping[str, float]] = dict
     ) -> None:
         self.read_gauges = read_gauges
-        self.registry = prometheus_client.CollectorRegistry()
+        # A registry reserves the name of a counter without its suffix too, so
+        # each type has a registry of its own.
+        self.counter_registry = prometheus_client.CollectorRegistry()
+        self.gauge_registry = prometheus_client.CollectorRegistry()
+        self.histogram_registry = prometheus_client.CollectorRegistry()
         self.counters: dict[str, prometheus_client.Counter] = {}
         self.gauges: dict[str, prometheus_client.Gauge] = {}
         self.histograms: dict[str, prometheus_client.Histogram] = {}
@@ -73,7 +79,7 @@
                 metric_name,
                 "Events since the start.",
                 list(exported_labels),
-                registry=self.registry,
+                registry=self.counter_registry,
             )
         values = self._limit_combinations(
             metric_name, tuple(exported_labels.values())
@@ -85,7 +91,10 @@
         metric_name, kind = self._split_name(name)
         if metric_name not in self.gauges:
             self.gauges[metric_name] = prometheus_client.Gauge(
-                metric_name, "Value now.", ["kind"], registry=self.registry
+                metric_name,
+                "Value now.",
+                ["kind"],
+                registry=self.gauge_registry,
             )
         self.gauges[metric_name].labels(kind).set(value)
 
@@ -97,7 +106,7 @@
                 f"{metric_name}_seconds",
                 "Durations.",
                 ["kind"],
-                registry=self.registry,
+                registry=self.histogram_registry,
                 buckets=BUCKETS_S,
             )
         self.histograms[metric_name].labels(kind).observe(milliseconds / 1000)
@@ -109,8 +118,13 @@
         head = model.AnswerHead(
             200, (("Content-Type", prometheus_client.CONTENT_TYPE_LATEST),)
         )
+        registries = (
+            self.counter_registry,
+            self.gauge_registry,
+            self.histogram_registry,
+        )
         return model.Answer(
-            head, prometheus_client.generate_latest(self.registry)
+            head, b"".join(map(prometheus_client.generate_latest, registries))
         )
 
     def may_overlap(self, request: model.HttpRequest) -> bool:
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -65,6 +65,7 @@
         # Makes the order of tasks, and so a failure, reproducible by its seed.
         trio_run._r.seed(seed)
         self.settings = consensus.ConsensusSettings(**overrides)
+        self.make_metrics = ports.NullMetrics
         self.events = []
         self.extra_delay = {}
         self.network = memory.MemoryNetwork(self._delay)
@@ -98,7 +99,7 @@
             CODEC,
             node.state_machine,
             CollectingEventLog(node.name, self.events),
-            ports.NullMetrics(),
+            self.make_metrics(),
             self.rng,
             self.settings,
         )
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -5,6 +5,7 @@
 
 from guavapulley import consensus
 from guavapulley import model
+from guavapulley.adapters import prometheus
 
 
 async def test_three_replicas_form_a_cluster_commit_and_read(
@@ -94,3 +95,24 @@
             assert raised.value.code == code
     assert cluster.nodes[1].replica.status().term == status.term
     nursery.cancel_scope.cancel()
+
+
+async def test_a_leader_with_served_metrics_makes_snapshots(
+    make_cluster, autojump_clock, nursery
+):
+    # A metric that cannot be registered would end the replica.
+    cluster = make_cluster(nursery, 1, snapshot_entries=20)
+    metrics = []
+
+    def make_metrics():
+        metrics.append(prometheus.PrometheusMetrics())
+        return metrics[-1]
+
+    cluster.make_metrics = make_metrics
+    await cluster.form_cluster()
+    for number in range(30):
+        await cluster.propose(b"%d" % number)
+    answer = await metrics[0].answer(model.HttpRequest("GET", "/metrics"))
+    assert cluster.running() == cluster.nodes
+    assert b'guavapulley_replica{kind="snapshot_bytes"}' in answer.body
+    nursery.cancel_scope.cancel()
