Count connections with a request in progress to the connection limit

Cause: cheroot counts only idle connections. The caller of a kept connection has its answer before the worker returns the connection, so that one more was accepted in between; any request in progress had the same effect. Change: a connection counts from its admission until it is closed.

--- a/src/guavapulley/adapters/http/_cheroot.py
+++ b/src/guavapulley/adapters/http/_cheroot.py
@@ -132,12 +132,18 @@
 
         super().__init__(http_server, sock, make_stream)
 
+    def close(self) -> None:
+        super().close()
+        self.server.admitted.discard(self)
+
 
 class CherootServer(server.HTTPServer):
     """Cheroot's server with the limits of `HttpLimits`.
 
     Attributes:
         keep_alive_disabled: Whether each answer closes its connection.
+        admitted: Open connections within the limit, whether idle or with a
+            request in progress.
     """
 
     ConnectionClass = _Connection
@@ -157,6 +163,7 @@
         self.limits = limits
         self.events = events
         self.keep_alive_disabled = False
+        self.admitted: set[_Connection] = set()
         # A second call of `stop` waits until the first has completed.
         self.stop_lock = threading.Lock()
         self.server_name = "guavapulley"
@@ -179,7 +186,8 @@
     def process_conn(self, conn: Any) -> None:
         """Passes a connection to a worker once the caller has sent data."""
         if conn.last_used is None and self.ready:
-            if self._connections._num_connections < self.max_connections:
+            if len(self.admitted) < self.max_connections:
+                self.admitted.add(conn)
                 self.put_conn(conn)
             else:
                 self._unservicable_conns.put(conn)
--- a/src/guavapulley/adapters/http/_limits.py
+++ b/src/guavapulley/adapters/http/_limits.py
@@ -22,8 +22,8 @@
         idle_timeout_s: Time after which an idle connection is closed.
         send_timeout_s: Limit on each wait for a caller to receive more of an
             answer.
-        max_connections: Maximum number of open connections without a request
-            in progress; at most half of the files that the process may open.
+        max_connections: Maximum number of open connections; at most half of
+            the files that the process may open.
             From `KEEP_ALIVE_FRACTION` of it on, connections are closed after
             an answer.
         queued_connections: Maximum number of connections that wait for a
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -237,6 +237,24 @@
     assert json.loads(refusal.partition(b"\r\n\r\n")[2])["not_run"]
 
 
+async def test_a_connection_with_a_request_in_progress_counts_to_the_limit():
+    # Otherwise one connection beyond the limit is accepted for each request
+    # whose answer was sent but which the worker has not finished yet.
+    limits = attrs.evolve(LIMITS, max_connections=2)
+    async with running_server(limits) as (server, handler):
+        busy = await connect(server)
+        await busy.send_all(build_request("/wait"))
+        await handler.entered.wait()
+        idle = await connect(server)
+        refusal = await receive_all(await connect(server))
+        handler.release.set()
+        assert (await receive_all(busy)).endswith(b"done")
+        accepted = await exchange(server, build_request("/"))
+        await idle.aclose()
+    assert json.loads(refusal.partition(b"\r\n\r\n")[2])["not_run"]
+    assert b"200 OK" in accepted
+
+
 async def test_stop_answers_requests_that_have_arrived():
     async with (
         running_server() as (server, handler),
