Hear from answers that an upstream leaves or refuses requests

Cause: an entry learned only from the fleet state that an upstream leaves, and treated a 503 with Retry-After like any other rejection. Change: the header codec reads Server-Leaving, and Retry-After of a 503; an unreadable value counts as absent and is logged once a minute at most. The tracker of the incarnation keeps both: a leaving one gets nothing any more, a refusing one nothing until its time has passed. A request is checked again right before it is sent, after the connection is open (UPSTREAM_WITHDRAWN), so that what was placed before is placed anew. When all upstreams that could serve a request refuse, its caller is refused at once and told the soonest return; requests that wait then are refused as well. Also: loads and deadlines that are not plausible numbers are ignored.

--- a/src/guavapulley/adapters/http1/_client.py
+++ b/src/guavapulley/adapters/http1/_client.py
@@ -1,6 +1,7 @@
 """Client that exchanges messages with upstreams over pooled connections."""
 
 import collections
+from collections.abc import Callable
 import socket as stdlib_socket
 
 import attrs
@@ -59,6 +60,7 @@
         request: model.HttpRequest,
         *,
         reuse_connection: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> model.Answer:
         """Sends a request and returns its answer.
 
@@ -69,6 +71,12 @@
         if stream is None:
             stream = await self._connect(upstream)
         try:
+            if not may_send():
+                raise ports.UpstreamError(
+                    ports.UPSTREAM_WITHDRAWN,
+                    f"{upstream.upstream} became unavailable",
+                    not_run=True,
+                )
             answer, idle_limit_s = await self._exchange(
                 upstream, stream, request, pooled=pooled
             )
--- a/src/guavapulley/experiments/_upstreams.py
+++ b/src/guavapulley/experiments/_upstreams.py
@@ -1,6 +1,7 @@
 """Models of upstreams behind the exchange port, on the runtime's clock."""
 
 import collections
+from collections.abc import Callable
 import random
 
 import attrs
@@ -153,6 +154,7 @@
         request: model.HttpRequest,
         *,
         reuse_connection: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> model.Answer:
         """Sends a request to a model; see `ports.ExchangeClient`."""
         target = self.upstreams[upstream.upstream]
--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -1,5 +1,7 @@
 """Forwarding of a request from its caller to an upstream and back."""
 
+import math
+
 import attrs
 import trio
 
@@ -24,6 +26,7 @@
 # Bounds of the time after which a refused caller is asked to retry.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
+UNREADABLE_LOG_INTERVAL_S = 60.0
 
 
 class Forwarder:
@@ -45,6 +48,8 @@
             stopping.
         has_routing_table: Whether a routing table has been received.
         idle: Set, and replaced, when no request is running.
+        unreadable_logged_s: Time on trio's clock at which an unreadable header
+            was last logged.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self.running = 0
         self.idle = trio.Event()
         self.refusing = False
+        self.unreadable_logged_s = -math.inf
 
     def apply_state(self, state: model.FleetState) -> None:
         """Applies a new fleet state."""
@@ -188,11 +194,8 @@
         retry_after_s: float | None = None
         if not context.may_have_run:
             code = _error_answers.NO_ROOM
-            expected_s = self.registry.expected_wait_s(
-                context.service, context.route.priority
-            )
             retry_after_s = _error_answers.draw_retry_after_s(
-                min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_s))
+                self._min_retry_after_s(context)
             )
             context.exclusions = self.registry.exclusions(
                 context.service,
@@ -208,6 +211,16 @@
         context.retry_after_s = retry_after_s
         return _error_answers.error_answer(code, reason, retry_after_s)
 
+    def _min_retry_after_s(self, context: _context.RequestContext) -> float:
+        """Returns the seconds before which a refused caller gains nothing."""
+        refusal_s = self.placer.refusal_s(context)
+        if refusal_s is not None:
+            return max(MIN_RETRY_AFTER_S, refusal_s)
+        expected_s = self.registry.expected_wait_s(
+            context.service, context.route.priority
+        )
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_s))
+
     async def _send(
         self, context: _context.RequestContext, tracker: routing.UpstreamTracker
     ) -> model.Answer | None:
@@ -234,7 +247,10 @@
                 # sent on it would have to be assumed to have run, although
                 # nothing ran, so only idempotent requests use one.
                 answer = await self.client.exchange(
-                    record, request, reuse_connection=context.is_idempotent()
+                    record,
+                    request,
+                    reuse_connection=context.is_idempotent(),
+                    may_send=lambda: self.registry.is_available(tracker),
                 )
         except ports.UpstreamError as error:
             reached = not error.not_run
@@ -264,7 +280,7 @@
     ) -> None:
         if error.code == ports.UPSTREAM_NOT_REACHED:
             tracker.record_connect_failure()
-        else:
+        elif error.code != ports.UPSTREAM_WITHDRAWN:
             tracker.record_failure()
         self.events.write(
             "upstream:failed",
@@ -288,6 +304,8 @@
         """
         metadata = self.header_codec.answer_metadata(answer.head)
         context.send_records[-1]["status"] = answer.head.status
+        if metadata.unreadable_headers:
+            self._report_unreadable(tracker, metadata.unreadable_headers)
         if metadata.load is not None:
             context.send_records[-1]["slowdown"] = metadata.load.slowdown_factor
             context.send_records[-1]["running"] = metadata.load.running
@@ -300,6 +318,7 @@
                 "upstream:replaced", upstream=tracker.record.upstream
             )
             return None
+        self._record_withdrawal(tracker, metadata)
         if metadata.not_run:
             tracker.record_failure()
             return None
@@ -323,3 +342,39 @@
                 headers=self.header_codec.answer_headers(answer.head),
             ),
         )
+
+    def _record_withdrawal(
+        self, tracker: routing.UpstreamTracker, metadata: ports.AnswerMetadata
+    ) -> None:
+        """Records that an upstream leaves, or refuses requests for a time."""
+        record = tracker.record
+        if metadata.leaving and not tracker.leaving:
+            tracker.leaving = True
+            self.events.write(
+                "upstream:leaving",
+                upstream=record.upstream,
+                incarnation=record.incarnation,
+            )
+        if metadata.refusal_s is not None:
+            tracker.record_refusal(metadata.refusal_s)
+            self.events.write(
+                "upstream:refusing",
+                upstream=record.upstream,
+                refusal_s=round(metadata.refusal_s, 3),
+            )
+        if metadata.leaving or metadata.refusal_s is not None:
+            self.registry.queue(record.service).dismiss_futile()
+
+    def _report_unreadable(
+        self, tracker: routing.UpstreamTracker, headers: tuple[str, ...]
+    ) -> None:
+        """Logs ignored headers, at most once in `UNREADABLE_LOG_INTERVAL_S`."""
+        now_s = trio.current_time()
+        if now_s < self.unreadable_logged_s + UNREADABLE_LOG_INTERVAL_S:
+            return
+        self.unreadable_logged_s = now_s
+        self.events.write(
+            "upstream:unreadable_header",
+            upstream=tracker.record.upstream,
+            headers=list(headers),
+        )
--- a/src/guavapulley/forwarding/_placer.py
+++ b/src/guavapulley/forwarding/_placer.py
@@ -55,6 +55,8 @@
             if tracker is not None:
                 tracker.in_flight += 1
                 return tracker
+        if self.refusal_s(context) is not None:
+            return None
         max_wait_s = self._max_wait_s(context)
         expected_s = self.registry.expected_wait_s(
             context.service, context.route.priority
@@ -62,13 +64,16 @@
         if expected_s > max_wait_s:
             return None
         waiter = routing.Waiter(
-            context.route.priority, context.arrived_s, choose
+            context.route.priority,
+            context.arrived_s,
+            choose,
+            lambda: self.refusal_s(context) is not None,
         )
         queue.enqueue(waiter)
         enqueued_s = trio.current_time()
         try:
             with trio.move_on_after(max_wait_s):
-                await waiter.assigned.wait()
+                await waiter.decided.wait()
         except trio.Cancelled:
             if waiter.tracker is not None:
                 self.release(waiter.tracker)
@@ -78,6 +83,16 @@
             context.waited_s += trio.current_time() - enqueued_s
         return waiter.tracker
 
+    def refusal_s(self, context: _context.RequestContext) -> float | None:
+        """Returns the seconds until an upstream stops refusing requests.
+
+        Returns:
+            The time, or None unless all that could serve the request refuse.
+        """
+        return self.registry.refusal_s(
+            context.service, context.route.regions, context.tried
+        )
+
     def _max_wait_s(self, context: _context.RequestContext) -> float:
         """Returns the longest worthwhile wait for capacity, in seconds."""
         typical_duration_s = self.registry.typical_duration_s(context.service)
--- a/src/guavapulley/forwarding/_registry.py
+++ b/src/guavapulley/forwarding/_registry.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
+import math
 
 import trio
 
@@ -14,7 +15,7 @@
 # Assumed before the first exchange with a service.
 DEFAULT_DURATION_S = 0.5
 # Bounds the memory used for removed upstreams.
-MAX_REMOVED = 200
+MAX_REMOVED = 1_000
 
 
 class UpstreamRegistry:
@@ -100,7 +101,8 @@
         policy: model.ServicePolicy | None,
         names_by_address: Mapping[model.NodeAddress, str],
     ) -> None:
-        tracker = self.trackers.get(record.upstream) or self._restore(record)
+        known = self.trackers.get(record.upstream) or self._restore(record)
+        tracker = known
         if (
             tracker is None
             or tracker.record.incarnation != record.incarnation
@@ -113,6 +115,9 @@
                     load_key, routing.TypicalLoad()
                 ),
             )
+            if known and known.record.incarnation == record.incarnation:
+                tracker.leaving = known.leaving
+                tracker.refused_until_s = known.refused_until_s
             self.trackers[record.upstream] = tracker
             self.events.write(
                 "upstream:learned",
@@ -281,11 +286,59 @@
         unavailable = tracker.unavailable_reason()
         if unavailable is not None:
             return unavailable
+        forbidden = self._forbidden_reason(record, regions)
+        if forbidden is not None:
+            return forbidden
+        return None if self._allows_cold_request(tracker) else "cold"
+
+    def _forbidden_reason(
+        self, record: model.UpstreamRecord, regions: tuple[str, ...]
+    ) -> str | None:
+        """Returns why operators forbid an upstream, or None if they do not."""
         if record.failure_domain in self.state.evacuated:
             return "evacuated"
         if regions and record.region not in regions:
             return "region"
-        return None if self._allows_cold_request(tracker) else "cold"
+        return None
+
+    def is_available(self, tracker: routing.UpstreamTracker) -> bool:
+        """Returns whether a request that was placed at it may still be sent."""
+        record = tracker.record
+        return (
+            self.trackers.get(record.upstream) is tracker
+            and tracker.unavailable_reason() is None
+            and record.failure_domain not in self.state.evacuated
+        )
+
+    def refusal_s(
+        self, service: str, regions: tuple[str, ...], tried: set[str]
+    ) -> float | None:
+        """Returns the seconds until the first refusing upstream returns.
+
+        Args:
+            service: Requested service.
+            regions: Allowed regions; empty for all.
+            tried: Upstreams that have failed the request.
+
+        Returns:
+            The time, or None if no upstream refuses requests or another one may
+            receive the request.
+        """
+        soonest_s = math.inf
+        for tracker in self.by_service.get(service, ()):
+            if self._exclusion_reason(tracker, regions, tried) in (
+                None,
+                "cold",
+            ):
+                return None
+            if (
+                tracker.unavailable_reason() == routing.REFUSING
+                and self._forbidden_reason(tracker.record, regions) is None
+            ):
+                soonest_s = min(soonest_s, tracker.refused_until_s)
+        if math.isinf(soonest_s):
+            return None
+        return soonest_s - trio.current_time()
 
     def _allows_cold_request(self, tracker: routing.UpstreamTracker) -> bool:
         if tracker.cold_budget is None or not tracker.is_cold():
--- a/src/guavapulley/ports/__init__.py
+++ b/src/guavapulley/ports/__init__.py
@@ -24,6 +24,7 @@
 from guavapulley.ports._errors import PEER_UNREACHABLE
 from guavapulley.ports._errors import UPSTREAM_BROKEN
 from guavapulley.ports._errors import UPSTREAM_NOT_REACHED
+from guavapulley.ports._errors import UPSTREAM_WITHDRAWN
 from guavapulley.ports._errors import UPSTREAM_WRONG_ANSWER
 from guavapulley.ports._errors import DiskError
 from guavapulley.ports._errors import PeerError
@@ -73,6 +74,7 @@
     "READ_FAILED",
     "UPSTREAM_BROKEN",
     "UPSTREAM_NOT_REACHED",
+    "UPSTREAM_WITHDRAWN",
     "UPSTREAM_WRONG_ANSWER",
     "AcceptedChange",
     "AdminError",
--- a/src/guavapulley/ports/_errors.py
+++ b/src/guavapulley/ports/_errors.py
@@ -23,6 +23,10 @@
     "UPSTREAM_NOT_REACHED",
     "No connection to the upstream could be opened; the request did not run.",
 )
+UPSTREAM_WITHDRAWN = errors.register_code(
+    "UPSTREAM_WITHDRAWN",
+    "The upstream became unavailable before the request was sent to it.",
+)
 UPSTREAM_BROKEN = errors.register_code(
     "UPSTREAM_BROKEN",
     "The upstream sent no complete answer; the request may have run.",
--- a/src/guavapulley/ports/_forwarding.py
+++ b/src/guavapulley/ports/_forwarding.py
@@ -1,5 +1,6 @@
 """The ports by which forwarding reads headers and calls upstreams."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -52,12 +53,20 @@
             address.
         request_id: ID of the answered request; None if unspecified.
         load: Load of the upstream; None if unspecified.
+        leaving: Whether the upstream announces that it is leaving.
+        refusal_s: Seconds for which the upstream wants no further requests from
+            this entry; None if unspecified.
+        unreadable_headers: Names of headers that are ignored because their
+            value cannot be read.
     """
 
     not_run: bool = False
     incarnation_mismatch: bool = False
     request_id: str | None = None
     load: LoadSample | None = None
+    leaving: bool = False
+    refusal_s: float | None = None
+    unreadable_headers: tuple[str, ...] = ()
 
 
 class HeaderCodec(Protocol):
@@ -96,6 +105,7 @@
         request: model.HttpRequest,
         *,
         reuse_connection: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> model.Answer:
         """Sends a request and returns the complete answer.
 
@@ -107,6 +117,8 @@
             request: Request with its final headers.
             reuse_connection: Whether an idle connection may be used. With a new
                 connection a failed connect proves that nothing was sent.
+            may_send: Returns whether the request may still be sent; called
+                after the last wait before the send.
 
         Raises:
             UpstreamError: There is no complete answer. Unless `not_run` is set,
--- a/src/guavapulley/routing/__init__.py
+++ b/src/guavapulley/routing/__init__.py
@@ -14,6 +14,7 @@
 from guavapulley.routing._policies import PlacementPolicy
 from guavapulley.routing._spillover import Spillover
 from guavapulley.routing._spillover import initial_spill_fraction
+from guavapulley.routing._trackers import REFUSING
 from guavapulley.routing._trackers import UpstreamTracker
 from guavapulley.routing._typical_load import TypicalLoad
 from guavapulley.routing._wait_queue import Waiter
@@ -22,6 +23,7 @@
 from guavapulley.routing._working_set import WorkingSet
 
 __all__ = [
+    "REFUSING",
     "PlacementContext",
     "PlacementPolicy",
     "ColdBudget",
--- a/src/guavapulley/routing/_trackers.py
+++ b/src/guavapulley/routing/_trackers.py
@@ -40,6 +40,8 @@
 # failure domain.
 AVOIDED_FAILURE_FRACTION = 0.3
 AVOIDED_DURATION_RATIO = 2.0
+# Reason why an upstream that refuses requests is unavailable.
+REFUSING = "refusing"
 # Objects of this entry that an upstream is assumed to keep warm.
 MAX_WARM_KEYS = 20
 
@@ -73,6 +75,10 @@
             connection attempt failed.
         backoff_s: Duration of the next backoff, in seconds.
         replaced: Whether another incarnation uses its address.
+        leaving: Whether it announced in an answer that it is leaving. An
+            incarnation that leaves does not return.
+        refused_until_s: No request is sent before this time, because it wants
+            none from this entry.
         warm_keys: Objects of the newest requests, oldest first.
         avoidance_reason: Last reported reason to avoid it; None if it was last
             reported as trusted, or never reported.
@@ -96,6 +102,8 @@
     backoff_until_s: float = 0.0
     backoff_s: float = INITIAL_BACKOFF_S
     replaced: bool = False
+    leaving: bool = False
+    refused_until_s: float = 0.0
     warm_keys: dict[str, None] = attrs.field(factory=dict)
     avoidance_reason: str | None = None
 
@@ -175,12 +183,25 @@
         """Returns why it may not receive requests now; None if it may."""
         if self.replaced:
             return "replaced"
+        if self.leaving:
+            return model.UpstreamState.LEAVING.value
         if self.record.state is not model.UpstreamState.READY:
             return self.record.state.value
+        if trio.current_time() < self.refused_until_s:
+            return REFUSING
         if trio.current_time() < self.backoff_until_s:
             return "unreachable"
         return None
 
+    def record_refusal(self, refusal_s: float) -> None:
+        """Records that the upstream wants no requests for some seconds.
+
+        A shorter time than one stated earlier does not shorten that one.
+        """
+        self.refused_until_s = max(
+            self.refused_until_s, trio.current_time() + refusal_s
+        )
+
     def add_warm_key(self, key: str | None) -> None:
         """Marks the object of a served request as warm.
 
--- a/src/guavapulley/routing/_wait_queue.py
+++ b/src/guavapulley/routing/_wait_queue.py
@@ -17,14 +17,17 @@
         priority: Priority; 0 is the most urgent.
         arrived_s: Time at which the request arrived, on trio's clock.
         choose: Returns an upstream with free capacity, or None.
-        assigned: Set once `tracker` holds a reserved upstream.
-        tracker: Upstream that was reserved for the request.
+        is_futile: Returns whether no upstream will accept the request in time.
+        decided: Set once `tracker` holds a reserved upstream, or once the wait
+            is futile.
+        tracker: Upstream that was reserved for the request, if any.
     """
 
     priority: int
     arrived_s: float
     choose: Callable[[], _trackers.UpstreamTracker | None]
-    assigned: trio.Event = attrs.field(factory=trio.Event)
+    is_futile: Callable[[], bool] = lambda: False
+    decided: trio.Event = attrs.field(factory=trio.Event)
     tracker: _trackers.UpstreamTracker | None = None
 
 
@@ -69,8 +72,16 @@
     def dispatch(self) -> None:
         """Assigns available upstreams to waiting requests, in order."""
         for waiter in list(self._reserve()):
-            self.discard(waiter)
-            waiter.assigned.set()
+            self._decide(waiter)
+
+    def dismiss_futile(self) -> None:
+        """Ends the waits of requests that no upstream will accept in time."""
+        for waiter in [w for w in self.waiters if w.is_futile()]:
+            self._decide(waiter)
+
+    def _decide(self, waiter: Waiter) -> None:
+        self.discard(waiter)
+        waiter.decided.set()
 
     def _reserve(self) -> Iterator[Waiter]:
         """Yields the requests for which an upstream could be reserved."""
--- a/tests/adapters/http1/test_client.py
+++ b/tests/adapters/http1/test_client.py
@@ -140,3 +140,28 @@
     await client.exchange(upstream, request, reuse_connection=True)
     assert received_heads[0].startswith(b"POST /x?y=%20 HTTP/1.1\r\n")
     assert received_heads[0].endswith(b"Content-Length: 5\r\n\r\n\0body")
+
+
+async def test_a_request_is_not_sent_if_permission_ends_while_connecting(
+    scripted_upstream, client
+):
+    received = []
+    closed = trio.Event()
+
+    async def script(stream):
+        received.append(await stream.receive_some(4096))
+        closed.set()
+
+    upstream = await scripted_upstream(script)
+    with pytest.raises(ports.UpstreamError) as raised:
+        await client.exchange(
+            upstream,
+            REQUEST,
+            reuse_connection=False,
+            may_send=lambda: False,
+        )
+    assert raised.value.not_run
+    assert raised.value.code == ports.UPSTREAM_WITHDRAWN
+    with trio.fail_after(2):
+        await closed.wait()
+    assert received == [b""]
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -19,7 +19,11 @@
 
 
 class HeaderCodec:
-    """Uses the headers `deadline`, `refused` and `other`."""
+    """Uses the headers `deadline`, `refused`, `other`, `leaving` and `pause`.
+
+    `pause` has the seconds for which the upstream refuses requests, and
+    `unreadable` the name of a header that could not be read.
+    """
 
     def caller_metadata(self, request):
         caller_timeout_s = request.header("deadline")
@@ -38,6 +42,11 @@
         return ports.AnswerMetadata(
             not_run="refused" in headers or "other" in headers,
             incarnation_mismatch="other" in headers,
+            leaving="leaving" in headers,
+            refusal_s=float(headers["pause"]) if "pause" in headers else None,
+            unreadable_headers=tuple(
+                name for name in (headers.get("unreadable"),) if name
+            ),
         )
 
 
@@ -51,14 +60,21 @@
         cancelled: Upstreams whose exchanges were cancelled.
         reused: Whether each send could reuse a connection.
         work_s: Duration of an exchange in seconds.
+        connect_s: Time before the request is sent, in seconds.
     """
 
     def __init__(self):
         self.outcomes, self.sent, self.cancelled = {}, [], []
         self.reused = []
         self.work_s = 0.1
+        self.connect_s = 0.0
 
-    async def exchange(self, upstream, request, *, reuse_connection):
+    async def exchange(self, upstream, request, *, reuse_connection, may_send):
+        await trio.sleep(self.connect_s)
+        if not may_send():
+            raise ports.UpstreamError(
+                ports.UPSTREAM_WITHDRAWN, "withdrawn", not_run=True
+            )
         self.sent.append((upstream.upstream, request, trio.current_time()))
         self.reused.append(reuse_connection)
         outcomes = self.outcomes.get(upstream.upstream, [ok()])
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -223,7 +223,49 @@
     assert (answer.load.slots, answer.load.slowdown_factor) == (8, 2.5)
 
 
-@pytest.mark.parametrize("load", ["", "3", "a,b,c", "3,0"])
+@pytest.mark.parametrize(
+    ("status", "headers", "leaving", "refusal_s", "unreadable"),
+    [
+        (200, {}, False, None, ()),
+        (200, {"Server-Leaving": "1"}, True, None, ()),
+        (404, {"server-leaving": " 1 "}, True, None, ()),
+        (200, {"Server-Leaving": "0"}, False, None, ()),
+        (200, {"Server-Leaving": "soon"}, False, None, ("server-leaving",)),
+        (503, {"Retry-After": "1.5"}, False, 1.5, ()),
+        (503, {"Retry-After": "0"}, False, 0.0, ()),
+        (200, {"Retry-After": "1.5"}, False, None, ()),
+        (503, {"Retry-After": "-1"}, False, None, ("retry-after",)),
+        (503, {"Retry-After": "1e999"}, False, None, ("retry-after",)),
+        (503, {"Retry-After": "nan"}, False, None, ("retry-after",)),
+        (503, {"Retry-After": ""}, False, None, ("retry-after",)),
+        (
+            503,
+            {"Retry-After": "Fri, 31 Dec 1999 23:59:59 GMT"},
+            False,
+            None,
+            ("retry-after",),
+        ),
+    ],
+)
+def test_a_leaving_or_refusing_upstream_is_heard_from_its_answers(
+    status, headers, leaving, refusal_s, unreadable
+):
+    head = model.AnswerHead(status, tuple(headers.items()))
+    answer = _header_codec.PlatformHeaderCodec().answer_metadata(head)
+    assert (answer.leaving, answer.refusal_s) == (leaving, refusal_s)
+    assert answer.unreadable_headers == unreadable
+
+
+@pytest.mark.parametrize("timeout", ["nan", "1e999", "soon", ""])
+def test_an_invalid_deadline_is_ignored(timeout):
+    request = model.HttpRequest("GET", "/", headers=(("Deadline-Ms", timeout),))
+    caller = _header_codec.PlatformHeaderCodec().caller_metadata(request)
+    assert caller.caller_timeout_s is None
+
+
+@pytest.mark.parametrize(
+    "load", ["", "3", "a,b,c", "3,0", "-1,0,9", f"{10**400},0,9", "3,0,9,-5"]
+)
 def test_an_invalid_load_is_ignored(load):
     head = model.AnswerHead(200, (("Server-Load", load),))
     assert (
