Keep an expired upstream from returning after its deregistration

Cause: only the removal of a recorded upstream was kept as a departure. One that had expired before it deregistered was recorded again by a late renewal. Change: each deregistration that names an incarnation is kept. Before: test_an_expired_upstream_that_deregisters_does_not_return (new) fails. After: it passes.

--- a/src/guavapulley/fleet/_machine.py
+++ b/src/guavapulley/fleet/_machine.py
@@ -104,8 +104,9 @@
             )
         command = message.command
         refusal = self._find_refusal(command)
-        if refusal is None and self._is_effective(command):
+        if isinstance(command, model.RemoveUpstream) and command.final:
             self._record_departure(command)
+        if refusal is None and self._is_effective(command):
             self.state = model.apply_fleet_command(self.state, command)
             self._append_recent(index, command)
         self.state = attrs.evolve(self.state, index=index)
@@ -225,13 +226,17 @@
             for other in self.state.upstreams
         )
 
-    def _record_departure(self, command: model.FleetCommand) -> None:
-        if not isinstance(command, model.RemoveUpstream) or not command.final:
+    def _record_departure(self, command: model.RemoveUpstream) -> None:
+        """Records that an incarnation has left, also if it had expired."""
+        name, incarnation = command.upstream, command.incarnation
+        existing = self.upstream(name)
+        if incarnation is None and existing is not None:
+            incarnation = existing.incarnation
+        if incarnation is None:
             return
-        existing = self.upstream(command.upstream)
-        if existing is not None:
-            self.departed.pop(command.upstream, None)
-            self.departed[command.upstream] = existing.incarnation
+        self.departed[name] = max(
+            incarnation, self.departed.pop(name, incarnation)
+        )
         while len(self.departed) > MAX_DEPARTED_UPSTREAMS:
             self.departed.popitem(last=False)
 
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -133,3 +133,30 @@
     assert copy.changes_after(0) is None
     assert copy.departed == log.machine.departed
     assert copy.accepted == log.machine.accepted
+
+
+def test_an_expired_upstream_that_deregisters_does_not_return(log):
+    # Its last renewal may arrive after its deregistration.
+    log.apply(model.RecordUpstream(conftest.upstream()))
+    log.apply(model.RemoveUpstream("u1", 100, final=False))
+    log.apply(model.RemoveUpstream("u1", 100, final=True))
+    log.apply(model.RecordUpstream(conftest.upstream(sequence=9)))
+    assert log.machine.upstream("u1") is None
+    log.apply(model.RecordUpstream(conftest.upstream(incarnation=101)))
+    assert log.machine.upstream("u1") is not None
+
+
+def test_an_old_deregistration_does_not_remove_a_new_incarnation(log):
+    log.apply(model.RecordUpstream(conftest.upstream(incarnation=200)))
+    log.apply(model.RemoveUpstream("u1", 100, final=True))
+    assert log.machine.upstream("u1").incarnation == 200
+    log.apply(
+        model.RecordUpstream(conftest.upstream(incarnation=200, sequence=2))
+    )
+    assert log.machine.upstream("u1").sequence == 2
+    log.apply(model.RemoveUpstream("u1", 200, final=True))
+    log.apply(model.RemoveUpstream("u1", 100, final=True))
+    log.apply(
+        model.RecordUpstream(conftest.upstream(incarnation=200, sequence=3))
+    )
+    assert log.machine.upstream("u1") is None
