Reject odd announcements, orders and headers with a reason

Cause: numbers had no upper limit, strings no length and no check of their characters, bodies no depth. 10**400, 2**70, a half surrogate pair or a digit that is no ASCII digit raised OverflowError, ValueError or an encoding error in the handler, so that the caller got 500; a name of 200 KB, a host that is no address and 1e308 s of cold time were accepted as an upstream. Rejections are logged once a second at most and name the field; ports.EventLimiter counts the omitted ones.

--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -1,7 +1,5 @@
 """Forwarding of a request from its caller to an upstream and back."""
 
-import math
-
 import attrs
 import trio
 
@@ -48,8 +46,7 @@
             stopping.
         has_routing_table: Whether a routing table has been received.
         idle: Set, and replaced, when no request is running.
-        unreadable_logged_s: Time on trio's clock at which an unreadable header
-            was last logged.
+        unreadable_events: Log of headers that cannot be read.
     """
 
     def __init__(
@@ -76,7 +73,9 @@
         self.running = 0
         self.idle = trio.Event()
         self.refusing = False
-        self.unreadable_logged_s = -math.inf
+        self.unreadable_events = ports.EventLimiter(
+            events, UNREADABLE_LOG_INTERVAL_S
+        )
 
     def apply_state(self, state: model.FleetState) -> None:
         """Applies a new fleet state."""
@@ -305,7 +304,11 @@
         metadata = self.header_codec.answer_metadata(answer.head)
         context.send_records[-1]["status"] = answer.head.status
         if metadata.unreadable_headers:
-            self._report_unreadable(tracker, metadata.unreadable_headers)
+            self.unreadable_events.write(
+                "upstream:unreadable_header",
+                upstream=tracker.record.upstream,
+                headers=list(metadata.unreadable_headers),
+            )
         if metadata.load is not None:
             context.send_records[-1]["slowdown"] = metadata.load.slowdown_factor
             context.send_records[-1]["running"] = metadata.load.running
@@ -364,17 +367,3 @@
             )
         if metadata.leaving or metadata.refusal_s is not None:
             self.registry.queue(record.service).dismiss_futile()
-
-    def _report_unreadable(
-        self, tracker: routing.UpstreamTracker, headers: tuple[str, ...]
-    ) -> None:
-        """Logs ignored headers, at most once in `UNREADABLE_LOG_INTERVAL_S`."""
-        now_s = trio.current_time()
-        if now_s < self.unreadable_logged_s + UNREADABLE_LOG_INTERVAL_S:
-            return
-        self.unreadable_logged_s = now_s
-        self.events.write(
-            "upstream:unreadable_header",
-            upstream=tracker.record.upstream,
-            headers=list(headers),
-        )
--- a/src/guavapulley/membership/_registry.py
+++ b/src/guavapulley/membership/_registry.py
@@ -12,6 +12,7 @@
 from guavapulley.membership import _errors
 from guavapulley.membership import _gossip_queue
 from guavapulley.membership import _upstreams
+from guavapulley.membership import _validation
 
 ENTRY = "entry"
 UPSTREAM = "upstream"
@@ -54,7 +55,7 @@
             MembershipError: The record is invalid, a later incarnation of the
                 upstream is registered, or this one is leaving.
         """
-        _validate_record(record)
+        _validation.validate_record(record)
         self._check_not_superseded(record.upstream, record.incarnation)
         self._merge_upstream(attrs.evolve(record, age_s=0.0))
 
@@ -75,9 +76,11 @@
             load: Load report of the upstream, if any.
 
         Raises:
-            MembershipError: The upstream must announce itself first, a later
-                incarnation is registered, or this one is leaving.
+            MembershipError: A value is invalid, the upstream must announce
+                itself first, a later incarnation is registered, or this one is
+                leaving.
         """
+        _validation.validate_renewal(sequence, load)
         current = self._check_not_superseded(upstream, incarnation)
         if current is None or current.incarnation != incarnation:
             raise _errors.MembershipError(
@@ -244,27 +247,3 @@
         f" as {current.state}",
         incarnation=current.incarnation,
     )
-
-
-def _validate_record(record: model.UpstreamRecord) -> None:
-    problems = (
-        (not record.upstream, "the upstream has no name"),
-        (not record.service, "the upstream names no service"),
-        (record.slots < 1, "slots must be at least 1"),
-        (record.max_connections < 1, "max_connections must be at least 1"),
-        (
-            len(record.labels) > model.MAX_LABELS,
-            "the upstream has too many labels",
-        ),
-        (
-            any(
-                len(text) > model.MAX_LABEL_CHARS
-                for pair in record.labels.items()
-                for text in pair
-            ),
-            "a label of the upstream is too long",
-        ),
-    )
-    problem = next((text for is_invalid, text in problems if is_invalid), None)
-    if problem is not None:
-        raise _errors.MembershipError(_errors.UPSTREAM_INVALID, problem)
--- a/src/guavapulley/ports/__init__.py
+++ b/src/guavapulley/ports/__init__.py
@@ -37,6 +37,7 @@
 from guavapulley.ports._forwarding import LoadSample
 from guavapulley.ports._http import HttpHandler
 from guavapulley.ports._observability import REQUEST_ANSWERED_EVENT
+from guavapulley.ports._observability import EventLimiter
 from guavapulley.ports._observability import EventLog
 from guavapulley.ports._observability import Metrics
 from guavapulley.ports._observability import NullEventLog
@@ -84,6 +85,7 @@
     "ControlPlane",
     "DiskError",
     "EntryRevision",
+    "EventLimiter",
     "EventLog",
     "ExplainedAttempt",
     "ExplainedUpstream",
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -194,4 +194,5 @@
 def recorder(harness):
     event_log = Recorder()
     harness.forwarder.events = harness.forwarder.reporter.events = event_log
+    harness.forwarder.unreadable_events.events = event_log
     return event_log
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -169,6 +169,22 @@
     assert received.renewed_at_s == pytest.approx(trio.current_time() - 4)
 
 
+# Values that could not be encoded for other entries, or break a clock.
+ODD_FIELDS = (
+    {"service": "a\ud800"},
+    {"service": "s" * 200_000},
+    {"slots": 2**70},
+    {"incarnation": 2**64},
+    {"sequence": 10**400},
+    {"address": model.NodeAddress("10.0.0.1", 65_536)},
+    {"address": model.NodeAddress("", 80)},
+    {"cold_s": float("nan")},
+    {"cold_s": 1e308},
+    {"labels": {"a": "\ud800"}},
+    {"load": model.LoadReport(-1)},
+)
+
+
 @pytest.mark.parametrize(
     ("call", "code"),
     [
@@ -186,6 +202,18 @@
             lambda r, make: r.announce(make(labels={"a": "b" * 129})),
             "UPSTREAM_INVALID",
         ),
+        *(
+            (
+                lambda r, make, odd=odd: r.announce(make(**odd)),
+                "UPSTREAM_INVALID",
+            )
+            for odd in ODD_FIELDS
+        ),
+        (lambda r, make: r.renew("u1", 5, 2**70, None), "UPSTREAM_INVALID"),
+        (
+            lambda r, make: r.renew("u1", 5, 9, model.LoadReport(10**400)),
+            "UPSTREAM_INVALID",
+        ),
     ],
 )
 async def test_an_invalid_request_of_an_upstream_is_refused(
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -267,3 +267,35 @@
     )
     assert b'guavapulley_disk_seconds_bucket{kind="append"' in core_body
     assert b"guavapulley_log_index" in core_body
+
+
+async def test_odd_announcements_are_rejected_and_end_no_process(running):
+    deployed, server, address = running
+    odd = [
+        {**heartbeat(address, 1), "sequence": 10**400},
+        {**heartbeat(address, 1), "capacity": 2**70},
+        {**heartbeat(address, 1), "born": 2**64},
+        {**heartbeat(address, 1), "cold_remaining_s": 1e308},
+        {**heartbeat(address, 1), "service": "\ud800"},
+        {**heartbeat(address, 1), "service": "s" * 200_000},
+        heartbeat("10.0.0.1:65536", 1),
+        heartbeat("localhost:80", 1),
+        json.loads(f'{{"version": {nested_list(400)}}}'),
+    ]
+    for core in deployed.cores:
+        for fields in odd:
+            status, _, _ = await deployment.call(
+                core.ip,
+                deployment.CONTROL_PORT,
+                "POST",
+                "/Instances.Heartbeat/odd",
+                fields,
+            )
+            assert status == 400
+    assert all(node.process.poll() is None for node in deployed.nodes)
+    status, _, body = await deployed.send_request("/a/x", "after")
+    assert (status, body) == (200, b"u1:u1")
+
+
+def nested_list(depth):
+    return "[" * depth + "]" * depth
