Bound messages without end by their bytes as they arrive

Cause: httptools passes on a start line, a header, a chunk extension or a trailer only when it is complete, so that the limit of the head was never checked for one that does not end; interim answers were not counted, and each body could occupy 64 MiB of an entry of 200 MB. The body of a failed exchange stayed until the cyclic garbage collector ran. Change: received bytes are counted for each message against the limit of its head and the framing of its body; more than 8 interim answers are an error. All bodies being received draw from a budget (http1.BodyBudget), an eighth of the memory limit for answers and a quarter for requests; each body has 16 KiB besides, so that small ones pass. Bodies are collected in parts of 32 KiB and freed with the exchange. The key of a connection pool is no longer formatted. Limit: an answer larger than an eighth of the memory limit is refused with 502.

--- a/src/guavapulley/adapters/http1/_client.py
+++ b/src/guavapulley/adapters/http1/_client.py
@@ -3,12 +3,14 @@
 import collections
 from collections.abc import Callable
 import socket as stdlib_socket
+from typing import NamedTuple
 
 import attrs
 import trio
 
 from guavapulley import model
 from guavapulley import ports
+from guavapulley.adapters.http1 import _body_budget
 from guavapulley.adapters.http1 import _parsing
 from guavapulley.adapters.http1 import _writing
 
@@ -39,20 +41,37 @@
     usable_until_s: float
 
 
+class _PoolKey(NamedTuple):
+    """Identifies the upstream process to which connections are open."""
+
+    upstream: str
+    incarnation: int
+    address: model.NodeAddress
+
+
+def _pool_key(upstream: model.UpstreamRecord) -> _PoolKey:
+    return _PoolKey(upstream.upstream, upstream.incarnation, upstream.address)
+
+
 class Http1Client:
     """Exchanges complete messages with upstreams; a `ports.ExchangeClient`.
 
     Args:
         header_codec: Reads the request IDs of requests and answers.
         events: Receives an event for each answer to another request.
+        body_budget: Limit on the bodies of all answers; None for the default.
     """
 
     def __init__(
-        self, header_codec: ports.HeaderCodec, events: ports.EventLog
+        self,
+        header_codec: ports.HeaderCodec,
+        events: ports.EventLog,
+        body_budget: _body_budget.BodyBudget | None = None,
     ) -> None:
         self.header_codec = header_codec
         self.events = events
-        self.idle: dict[str, collections.deque[_IdleConnection]] = {}
+        self.body_budget = body_budget or _body_budget.BodyBudget()
+        self.idle: dict[_PoolKey, collections.deque[_IdleConnection]] = {}
 
     async def exchange(
         self,
@@ -89,16 +108,11 @@
             stream.socket.close()
         return answer
 
-    def _pool_key(self, upstream: model.UpstreamRecord) -> str:
-        return f"{upstream.upstream}/{upstream.incarnation}/{upstream.address}"
-
     def _acquire_idle(
         self, upstream: model.UpstreamRecord
     ) -> trio.SocketStream | None:
         """Returns a usable idle connection, or None without one."""
-        connections = self.idle.get(
-            self._pool_key(upstream), collections.deque()
-        )
+        connections = self.idle.get(_pool_key(upstream), collections.deque())
         while connections:
             connection = connections.pop()
             if (
@@ -116,7 +130,7 @@
         idle_limit_s: float,
     ) -> None:
         connections = self.idle.setdefault(
-            self._pool_key(upstream), collections.deque()
+            _pool_key(upstream), collections.deque()
         )
         connections.append(
             _IdleConnection(stream, trio.current_time() + idle_limit_s)
@@ -128,10 +142,12 @@
         self, upstreams: tuple[model.UpstreamRecord, ...]
     ) -> None:
         """Closes the idle connections to all upstreams but the given ones."""
-        kept_keys = {self._pool_key(upstream) for upstream in upstreams}
-        for key in [key for key in self.idle if key not in kept_keys]:
-            for connection in self.idle.pop(key):
-                connection.stream.socket.close()
+        records = {upstream.upstream: upstream for upstream in upstreams}
+        for key in list(self.idle):
+            record = records.get(key.upstream)
+            if record is None or _pool_key(record) != key:
+                for connection in self.idle.pop(key):
+                    connection.stream.socket.close()
 
     async def _connect(
         self, upstream: model.UpstreamRecord
@@ -166,7 +182,9 @@
         limits = _parsing.MessageLimits(
             MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES
         )
-        parser = _parsing.AnswerParser(limits, no_body=request.method == "HEAD")
+        parser = _parsing.AnswerParser(
+            limits, self.body_budget, no_body=request.method == "HEAD"
+        )
         late_answers = 0
         try:
             await stream.send_all(_writing.request_bytes(request))
@@ -192,6 +210,8 @@
             ) from error
         except _parsing.MessageError as error:
             raise _lost_answer_error(upstream, str(error)) from error
+        finally:
+            parser.discard_body()
         raise ports.UpstreamError(
             ports.UPSTREAM_WRONG_ANSWER,
             f"{upstream.upstream} answered only other requests",
--- a/src/guavapulley/adapters/http1/_parsing.py
+++ b/src/guavapulley/adapters/http1/_parsing.py
@@ -7,10 +7,20 @@
 import httptools
 
 from guavapulley import model
+from guavapulley.adapters.http1 import _body_budget
 
 ENCODING = "latin-1"
+# Line breaks, start line and chunk framing beyond the limit of the head. Chunks
+# of one byte have five bytes of framing each.
+FRAMING_BYTES = 4_096
+FRAMING_BYTES_PER_BODY_BYTE = 8
+# Bodies are collected in parts, as growing a single buffer leaves free memory
+# between the buffers of many bodies, and each small chunk would be an object.
+BODY_PART_BYTES = 32_768
+# Interim answers (1xx) accepted before the final one.
+MAX_INTERIM_ANSWERS = 8
 
-_IDLE_TIMEOUT = re.compile(r"timeout=(\d+)")
+_IDLE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})\b")
 
 
 class MessageError(Exception):
@@ -52,20 +62,47 @@
 
 
 class _MessageCollector:
-    """Callbacks of httptools that collect the headers and the body."""
+    """Callbacks of httptools that collect the headers and the body.
 
-    def __init__(self, limits: MessageLimits) -> None:
+    httptools passes on a start line, header, chunk extension or trailer only
+    when it is complete, so the bytes of unfinished ones are counted as they
+    arrive.
+
+    Attributes:
+        no_memory_status: HTTP status of the error when the budget for bodies is
+            used up.
+    """
+
+    no_memory_status = 503
+
+    def __init__(
+        self, limits: MessageLimits, body_budget: _body_budget.BodyBudget
+    ) -> None:
         self.limits = limits
+        self.body_budget = body_budget
+        self.acquired_bytes = 0
         self.reset()
 
     def reset(self) -> None:
         """Discards the last message."""
         self.headers: list[tuple[str, str]] = []
-        self.body = bytearray()
+        self.discard_body()
+        self.received_bytes = 0
         self.head_bytes = 0
         self.message_begun = False
         self.head_complete = False
 
+    def discard_body(self) -> None:
+        """Frees the memory of the body.
+
+        The parser of httptools refers to this object, so that its memory would
+        be freed only by the cyclic garbage collector.
+        """
+        self.body_parts: list[bytearray] = []
+        self.body_bytes = 0
+        self.body_budget.release(self.acquired_bytes)
+        self.acquired_bytes = 0
+
     def on_message_begin(self) -> None:
         """Starts a message."""
         self.reset()
@@ -83,9 +120,32 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body."""
-        self.body += data
-        if len(self.body) > self.limits.max_body_bytes:
+        if not self.body_parts or len(self.body_parts[-1]) >= BODY_PART_BYTES:
+            self.body_parts.append(bytearray())
+        self.body_parts[-1] += data
+        self.body_bytes += len(data)
+        if self.body_bytes > self.limits.max_body_bytes:
             raise MessageError(413, "the body is too large")
+        missing_bytes = (
+            self.body_bytes - _body_budget.FREE_BODY_BYTES - self.acquired_bytes
+        )
+        if missing_bytes <= 0:
+            return
+        if not self.body_budget.try_acquire(missing_bytes):
+            raise MessageError(
+                self.no_memory_status, "too many large bodies at the same time"
+            )
+        self.acquired_bytes += missing_bytes
+
+    def _check_received_size(self) -> None:
+        """Checks the bytes received since the start of the message."""
+        max_bytes = (
+            self.limits.max_head_bytes
+            + FRAMING_BYTES
+            + FRAMING_BYTES_PER_BODY_BYTE * self.body_bytes
+        )
+        if self.received_bytes - self.body_bytes > max_bytes:
+            raise MessageError(431, "the head or the framing is too large")
 
     def _check_head_size(self) -> None:
         if self.head_bytes > self.limits.max_head_bytes:
@@ -105,13 +165,19 @@
     Args:
         limits: Limits on each request.
         peer_host: IP address of the caller.
+        body_budget: Limit on the bodies of all connections.
 
     Attributes:
         complete: Complete requests that `feed` has not yielded yet.
     """
 
-    def __init__(self, limits: MessageLimits, peer_host: str) -> None:
-        super().__init__(limits)
+    def __init__(
+        self,
+        limits: MessageLimits,
+        peer_host: str,
+        body_budget: _body_budget.BodyBudget,
+    ) -> None:
+        super().__init__(limits, body_budget)
         self.peer_host = peer_host
         self.target = b""
         self.complete: list[ParsedRequest] = []
@@ -138,7 +204,7 @@
             path,
             query,
             tuple(self.headers),
-            bytes(self.body),
+            b"".join(self.body_parts),
             self.peer_host,
             target,
         )
@@ -166,8 +232,12 @@
                 after the requests before it have been yielded.
         """
         parse_error: MessageError | None = None
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
+            self._check_received_size()
+        except MessageError as error:
+            parse_error = error
         except httptools.HttpParserUpgrade:
             parse_error = MessageError(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
@@ -180,6 +250,13 @@
             raise parse_error
 
 
+def _message_error(error: Exception) -> MessageError:
+    """Returns an error of an answer as one of this adapter."""
+    if isinstance(error, MessageError):
+        return error
+    return _callback_error(error) or MessageError(502, str(error))
+
+
 def _callback_error(error: BaseException) -> MessageError | None:
     """Returns the error that a callback raised within httptools, if any."""
     cause = error.__context__ or error.__cause__
@@ -210,6 +287,7 @@
 
     Args:
         limits: Limits on each answer.
+        body_budget: Limit on the bodies of all connections.
         no_body: Whether the method of the request permits no body in the
             answer.
 
@@ -220,8 +298,17 @@
             the use of the parser.
     """
 
-    def __init__(self, limits: MessageLimits, *, no_body: bool) -> None:
-        super().__init__(limits)
+    no_memory_status = 502
+
+    def __init__(
+        self,
+        limits: MessageLimits,
+        body_budget: _body_budget.BodyBudget,
+        *,
+        no_body: bool,
+    ) -> None:
+        super().__init__(limits, body_budget)
+        self.interim_answers = 0
         self.no_body = no_body
         self.complete: list[ParsedAnswer] = []
         self.has_invalid_bytes = False
@@ -248,13 +335,20 @@
         """Adds a complete answer unless it is an interim one."""
         if self.body_ends_at_close:
             return
-        if self.parser.get_status_code() >= 200 and not self.no_body:
+        if self.parser.get_status_code() < 200:
+            self._count_interim()
+        elif not self.no_body:
             self._add_complete(keep_alive=bool(self.parser.should_keep_alive()))
         self.reset()
 
+    def _count_interim(self) -> None:
+        self.interim_answers += 1
+        if self.interim_answers > MAX_INTERIM_ANSWERS:
+            raise MessageError(502, "too many interim answers")
+
     def _add_complete(self, *, keep_alive: bool) -> None:
         head = model.AnswerHead(
-            self.parser.get_status_code(), tuple(self.headers), len(self.body)
+            self.parser.get_status_code(), tuple(self.headers), self.body_bytes
         )
         matches = (
             _IDLE_TIMEOUT.search(value)
@@ -263,7 +357,7 @@
         timeouts = [int(match.group(1)) for match in matches if match]
         self.complete.append(
             ParsedAnswer(
-                model.Answer(head, bytes(self.body)),
+                model.Answer(head, b"".join(self.body_parts)),
                 keep_alive,
                 timeouts[0] if timeouts else None,
             )
@@ -276,17 +370,18 @@
             MessageError: The bytes are not an answer, and no answer before them
                 is complete.
         """
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
+            self._check_received_size()
         except (
+            MessageError,
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
             self.has_invalid_bytes = True
             if not self.complete:
-                raise _callback_error(error) or MessageError(
-                    502, str(error)
-                ) from error
+                raise _message_error(error) from error
 
     def receive_eof(self) -> None:
         """Handles the clean end of the stream; a reset is not one.
--- a/src/guavapulley/adapters/http1/_server.py
+++ b/src/guavapulley/adapters/http1/_server.py
@@ -9,6 +9,7 @@
 
 from guavapulley import model
 from guavapulley import ports
+from guavapulley.adapters.http1 import _body_budget
 from guavapulley.adapters.http1 import _parsing
 from guavapulley.adapters.http1 import _writing
 
@@ -46,10 +47,14 @@
     Attributes:
         stopping: Whether each answer closes its connection.
         idle_closing: Event that closes idle connections.
+        body_budget: Limit on the bodies of all requests being received.
     """
 
     stopping: bool = False
     idle_closing: trio.Event = attrs.field(factory=trio.Event)
+    body_budget: _body_budget.BodyBudget = attrs.field(
+        factory=_body_budget.BodyBudget
+    )
 
 
 @attrs.define(eq=False)
@@ -84,6 +89,7 @@
                 limits.max_header_bytes, limits.max_body_bytes
             ),
             peer_address[0],
+            state.body_budget,
         )
         self.queue: deque[_Exchange] = deque()
         self.changed = trio.Event()
@@ -108,6 +114,7 @@
         except* Exception as group:  # an error must not end other connections
             self.events.write("http:connection_failed", reason=repr(group))
         finally:
+            self.parser.discard_body()
             self.stream.socket.close()
 
     async def _read(self, nursery: trio.Nursery) -> None:
--- a/src/guavapulley/nodes/_edge.py
+++ b/src/guavapulley/nodes/_edge.py
@@ -55,8 +55,10 @@
         settings = node.settings
         self.incarnation = secrets.token_hex(8)
         self.accepting = True
-        self.server = http1.ServerState()
-        self.client = http1.Http1Client(header_codec, node.events)
+        self.server = http1.ServerState(body_budget=node.request_budget)
+        self.client = http1.Http1Client(
+            header_codec, node.events, node.answer_budget
+        )
         self.watcher = forwarding.FleetWatcher(
             node.dialer,
             lambda: node.settings.seeds,
--- a/src/guavapulley/nodes/_process.py
+++ b/src/guavapulley/nodes/_process.py
@@ -24,6 +24,10 @@
 # machine that cannot reach its former seeds needs the new ones.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 EXIT_FAILURE = 1
+# Fractions of the memory limit that the bodies of callers' requests, and those
+# of upstreams' answers, may occupy while they are received.
+REQUEST_MEMORY_FRACTION = 0.25
+ANSWER_MEMORY_FRACTION = 0.125
 
 # Errors that a loader raises for invalid or partly written settings.
 SETTINGS_ERRORS = (OSError, ValueError, KeyError, TypeError)
@@ -44,6 +48,8 @@
         settings: The last valid settings.
         metrics: Metrics of the process.
         dialer: Makes clients of peers.
+        request_budget: Limit on the bodies of all requests being received.
+        answer_budget: Limit on the bodies of all answers being received.
     """
 
     def __init__(
@@ -59,6 +65,13 @@
         self.nursery = nursery
         self.settings = load()
         self.metrics = prometheus.PrometheusMetrics()
+        max_memory_bytes = self.settings.max_memory_bytes
+        self.request_budget = _create_body_budget(
+            max_memory_bytes, REQUEST_MEMORY_FRACTION
+        )
+        self.answer_budget = _create_body_budget(
+            max_memory_bytes, ANSWER_MEMORY_FRACTION
+        )
         self.dialer = stream.StreamDialer(
             message_codec,
             nursery,
@@ -107,13 +120,17 @@
         if address is None:
             return
 
+        server_state = state or http1.ServerState(
+            body_budget=self.request_budget
+        )
+
         async def run(task_status: trio.TaskStatus[None]) -> None:
             await http1.serve_http1(
                 address,
                 handler,
                 limits,
                 self.events,
-                state,
+                server_state,
                 task_status=task_status,
             )
 
@@ -130,6 +147,14 @@
                 self.reload()
 
 
+def _create_body_budget(
+    max_memory_bytes: int | None, fraction: float
+) -> http1.BodyBudget:
+    if max_memory_bytes is None:
+        return http1.BodyBudget()
+    return http1.BodyBudget(int(max_memory_bytes * fraction))
+
+
 @contextlib.asynccontextmanager
 async def open_node(
     load: SettingsLoader, message_codec: codec.MessageCodec
--- a/src/guavapulley/nodes/_settings.py
+++ b/src/guavapulley/nodes/_settings.py
@@ -35,6 +35,8 @@
         directory_address: Address for lookups; None without this server.
         metrics_address: Address from which metrics are read; None without this
             server.
+        max_memory_bytes: Memory at which the process is ended; None if there is
+            no limit.
     """
 
     name: str
@@ -55,3 +57,4 @@
     control_address: model.NodeAddress | None = None
     directory_address: model.NodeAddress | None = None
     metrics_address: model.NodeAddress | None = None
+    max_memory_bytes: int | None = None
--- a/tests/adapters/http1/test_client.py
+++ b/tests/adapters/http1/test_client.py
@@ -5,6 +5,8 @@
 
 from guavapulley import model
 from guavapulley import ports
+from guavapulley.adapters import http1
+from tests.adapters.http1 import conftest as support
 
 REQUEST = model.HttpRequest(
     "GET", "/x", headers=(("Id", "7"),), raw_path="/x?y=%20"
@@ -165,3 +167,82 @@
     with trio.fail_after(2):
         await closed.wait()
     assert received == [b""]
+
+
+def script_sending_endless(start, part):
+    """Sends a start and then a part again and again until it is closed."""
+
+    async def script(stream):
+        await receive_head(stream)
+        await stream.send_all(start)
+        while True:
+            await stream.send_all(part)
+
+    return script
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nId: 7\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "status line": (b"HTTP/1.1 200 ", b"O" * 60_000),
+    "header name": (HEAD, b"x" * 60_000),
+    "header value": (HEAD + b"X: ", b"x" * 60_000),
+    "headers": (HEAD, b"X: y\r\n" * 9_000),
+    "chunk extension": (CHUNKED + b"4;", b"x" * 60_000),
+    "trailer": (CHUNKED + b"0\r\nX: ", b"x" * 60_000),
+    "line breaks": (b"\r\n", b"\r\n" * 30_000),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "late answers": (b"", OTHER_ANSWER),
+    "body": (HEAD + b"\r\n", b"x" * 60_000),
+    "chunked body": (CHUNKED, b"ea60\r\n" + b"x" * 60_000 + b"\r\n"),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_ANSWERS)
+async def test_an_endless_answer_is_an_error(scripted_upstream, kind):
+    limited = http1.Http1Client(
+        support.HeaderCodec(),
+        ports.NullEventLog(),
+        http1.BodyBudget(1_000_000),
+    )
+    script = script_sending_endless(*ENDLESS_ANSWERS[kind])
+    upstream = await scripted_upstream(script)
+    with trio.fail_after(10), pytest.raises(ports.UpstreamError) as raised:
+        await limited.exchange(upstream, REQUEST, reuse_connection=True)
+    assert not raised.value.not_run
+    assert limited.body_budget.used_bytes == 0
+
+
+async def test_a_large_body_within_the_budget_is_returned_whole(
+    scripted_upstream, client
+):
+    body = b"x" * 5_000_000
+    chunks = b"".join(b"1\r\nx\r\n" for _ in range(1_000))
+    parts = (
+        CHUNKED + chunks,
+        b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n",
+    )
+    upstream = await scripted_upstream(script_sending(*parts))
+    answer = await client.exchange(upstream, REQUEST, reuse_connection=True)
+    assert len(answer.body) == 5_001_000
+    assert client.body_budget.used_bytes == 0
+
+
+async def test_small_answers_are_received_when_the_budget_is_used_up(
+    scripted_upstream, client
+):
+    client.body_budget.max_bytes = 0
+    upstream = await scripted_upstream(script_sending(ANSWER))
+    answer = await client.exchange(upstream, REQUEST, reuse_connection=True)
+    assert answer.body == b"mine"
+
+
+async def test_an_unreasonable_idle_timeout_is_ignored(
+    scripted_upstream, client
+):
+    answer = ANSWER.replace(
+        b"Id: 7", b"Id: 7\r\nKeep-Alive: timeout=" + b"9" * 400
+    )
+    upstream = await scripted_upstream(script_sending(answer))
+    received = await client.exchange(upstream, REQUEST, reuse_connection=True)
+    assert received.body == b"mine"
--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -1,5 +1,7 @@
 """Guards against lost, reordered and invalid requests of callers."""
 
+import contextlib
+
 import pytest
 import trio
 
@@ -160,3 +162,51 @@
     await other.send_all(build_request("/1"))
     with trio.fail_after(5):
         assert (await other.receive_some(4096)).split()[1] == b"200"
+
+
+POST = b"POST /1 HTTP/1.1\r\nHost: h\r\n"
+CHUNKED_POST = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_REQUESTS = {
+    "target": (b"GET /", b"x" * 60_000),
+    "header name": (POST, b"x" * 60_000),
+    "header value": (POST + b"X: ", b"x" * 60_000),
+    "headers": (POST, b"X: y\r\n" * 9_000),
+    "chunk extension": (CHUNKED_POST + b"4;", b"x" * 60_000),
+    "trailer": (CHUNKED_POST + b"0\r\nX: ", b"x" * 60_000),
+    "line breaks": (b"\r\n", b"\r\n" * 30_000),
+    "body": (CHUNKED_POST, b"ea60\r\n" + b"x" * 60_000 + b"\r\n"),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_REQUESTS)
+async def test_endless_requests_are_refused(serve, handler, kind):
+    state = _server.ServerState(body_budget=http1.BodyBudget(1_000_000))
+    start, part = ENDLESS_REQUESTS[kind]
+    stream = await connect(await serve(handler, state=state))
+    received = b""
+    with trio.fail_after(10):
+        await stream.send_all(start)
+        async with trio.open_nursery() as nursery:
+
+            async def send():
+                with contextlib.suppress(trio.BrokenResourceError):
+                    while True:
+                        await stream.send_all(part)
+
+            nursery.start_soon(send)
+            with contextlib.suppress(trio.BrokenResourceError):
+                while data := await stream.receive_some(4_096):
+                    received += data
+            nursery.cancel_scope.cancel()
+    assert received.split(b" ")[1] in (b"400", b"431", b"503")
+    assert handler.requests == []
+
+
+async def test_a_body_is_refused_while_the_budget_is_used_up(serve, handler):
+    state = _server.ServerState(body_budget=http1.BodyBudget(0))
+    stream = await connect(await serve(handler, state=state))
+    head = POST + b"Content-Length: 40000\r\n\r\n"
+    await stream.send_all(head + b"x" * 40_000)
+    with trio.fail_after(5):
+        assert (await stream.receive_some(4_096)).startswith(b"HTTP/1.1 503 ")
+    assert handler.requests == []
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -42,6 +42,9 @@
 [listen_addrs]
 {listen}
 
+[limits]
+memory_mb = 200
+
 [fault_tolerance]
 machines = 1
 
--- /dev/null
+++ b/tests/platform/test_endless_answers.py
@@ -0,0 +1,128 @@
+"""Guards against an entry that runs out of memory by endless answers."""
+
+import contextlib
+import itertools
+import pathlib
+
+import pytest
+import trio
+
+from tests.platform import deployment
+from tests.platform import test_processes
+
+pytestmark = pytest.mark.processes
+# Numbers that the other tests with real processes do not use.
+NUMBERS = itertools.count(60)
+UPSTREAMS = 200
+HALF_OF_MEMORY_LIMIT_KIB = 100_000_000 / 1024
+PART = b"x" * 65_536
+PART_INTERVAL_S = 0.02
+
+
+async def send_endless_body(stream):
+    """Answers a request with a body that never ends."""
+    with contextlib.suppress(trio.BrokenResourceError):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            received = await stream.receive_some(65_536)
+            if not received:
+                return
+            data += received
+        (request_id,) = (
+            line.split(b": ")[1]
+            for line in data.split(b"\r\n")
+            if line.lower().startswith(b"request-id")
+        )
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id + b"\r\n\r\n"
+        )
+        while True:
+            await stream.send_all(PART)
+            await trio.sleep(PART_INTERVAL_S)
+
+
+def peak_memory_kib(node):
+    """Returns the largest resident memory that a node has had."""
+    status = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
+    (line,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1])
+
+
+def configuration():
+    other = {
+        **test_processes.ROUTE,
+        "metadata": {"name": "other"},
+        "spec": {
+            **test_processes.ROUTE["spec"],
+            "path_prefix": "/endless/",
+            "service": "endless",
+        },
+    }
+    resources = [
+        test_processes.ROUTE,
+        other,
+        test_processes.SERVICE,
+        {**test_processes.SERVICE, "metadata": {"name": "endless"}},
+    ]
+    return {"version": 1, "base_version": 0, "resources": resources}
+
+
+async def announce(deployed, name, service, listener):
+    host, port = listener.socket.getsockname()
+    fields = test_processes.heartbeat(f"{host}:{port}", 1)
+    return await deployed.send_command(
+        f"/Instances.Heartbeat/{name}", {**fields, "service": service}
+    )
+
+
+async def test_memory_is_bounded_and_other_requests_are_served(
+    tmp_path, nursery
+):
+    deployed = deployment.Deployment(tmp_path, next(NUMBERS))
+    server = test_processes.Server("u1")
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, server.serve, [listener])
+    try:
+        for node in deployed.nodes:
+            node.start()
+        sent = await deployed.send_command("/Config.Replace", configuration())
+        assert sent == 200
+        assert await announce(deployed, "u1", "stock", listener) == 200
+        for number in range(UPSTREAMS):
+            endless = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, send_endless_body, endless)
+            name = f"endless-{number}"
+            sent = await announce(deployed, name, "endless", endless[0])
+            assert sent == 200
+        ids = itertools.count()
+
+        async def served():
+            status, _, _ = await deployed.send_request("/a/x", f"s{next(ids)}")
+            return status == 200
+
+        await deployed.wait_until(served)
+        statuses, others = [], []
+
+        async def request_endless(number):
+            with contextlib.suppress(*deployment.CALL_ERRORS):
+                status, _, _ = await deployed.send_request(
+                    "/endless/x", f"e{number}"
+                )
+                statuses.append(status)
+
+        async def request_others():
+            while len(statuses) < UPSTREAMS:
+                others.append(await served())
+
+        async with trio.open_nursery() as requests:
+            requests.start_soon(request_others)
+            for number in range(UPSTREAMS):
+                requests.start_soon(request_endless, number)
+        assert set(statuses) <= {502, 503, 504}
+        assert len(others) > 5 and all(others)
+        print("peak memory in KiB:", peak_memory_kib(deployed.edge))
+        assert peak_memory_kib(deployed.edge) < HALF_OF_MEMORY_LIMIT_KIB
+        assert deployed.edge.process.poll() is None
+    finally:
+        deployed.stop()
+    nursery.cancel_scope.cancel()
