Let an entry read the clock once for a decision and apply changes together

A placement read the clock some 1,400 times and sorted all upstreams by their hash. The entries' share of a cold upstream hashed the names of 195 entries at each check. Change: estimates take the time as an argument; the preferred upstream is a minimum; commands of an update are applied in one pass (apply_fleet_commands); unchanged records are skipped; an entry receives at most four updates a second; the share of a cold upstream is computed once for a list of entries; edge nodes do not import log, disk and control API (nodes.core).

--- a/src/guavapulley/experiments/_policies.py
+++ b/src/guavapulley/experiments/_policies.py
@@ -5,6 +5,7 @@
 import random
 
 import attrs
+import trio
 
 from guavapulley import routing
 
@@ -13,10 +14,11 @@
     context: routing.PlacementContext,
 ) -> list[routing.UpstreamTracker]:
     """Returns the upstreams whose estimated load leaves a slot free."""
+    now_s = trio.current_time()
     return [
         tracker
         for tracker in context.trackers
-        if tracker.load() + 1 <= tracker.record.slots
+        if tracker.load(now_s) + 1 <= tracker.record.slots
     ]
 
 
--- a/src/guavapulley/forwarding/_context.py
+++ b/src/guavapulley/forwarding/_context.py
@@ -82,15 +82,16 @@
         Returns:
             The record, to which the outcome is added later.
         """
+        now_s = trio.current_time()
         send_record: dict[str, object] = {
             "upstream": tracker.record.upstream,
             "incarnation": tracker.record.incarnation,
-            "at_s": round(trio.current_time() - self.arrived_s, 3),
-            "load": round(tracker.load(), 2),
-            "load_age_s": _round_age(trio.current_time() - tracker.sampled_s),
-            "speed": round(tracker.duration_factor(), 2),
-            "failures": round(tracker.current_failure_fraction(), 2),
-            "cold": tracker.is_cold(),
+            "at_s": round(now_s - self.arrived_s, 3),
+            "load": round(tracker.load(now_s), 2),
+            "load_age_s": _round_age(now_s - tracker.sampled_s),
+            "speed": round(tracker.duration_factor(now_s), 2),
+            "failures": round(tracker.current_failure_fraction(now_s), 2),
+            "cold": tracker.is_cold(now_s),
             "warm": self.metadata.affinity_key in tracker.warm_keys,
         }
         self.send_records.append(send_record)
--- a/src/guavapulley/forwarding/_fleet_watcher.py
+++ b/src/guavapulley/forwarding/_fleet_watcher.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 
 import attrs
 import trio
@@ -17,6 +18,9 @@
 MAX_QUORUM_AGE_S = 0.9
 PROBE_TIMEOUT_S = 0.6
 RETRY_DELAY_S = 0.1
+# Changes that follow each other faster are received and applied together, so
+# that the work of an entry is bounded while hundreds of nodes start.
+MIN_UPDATE_INTERVAL_S = 0.25
 
 
 class FleetWatcher:
@@ -33,6 +37,7 @@
         state: The current state.
         on_change: Called after each change of the state.
         confirmed_s: Time at which a replica last confirmed the state.
+        updated_s: Time of the last update of the state.
         ready: Set once a state with a routing table has been received.
     """
 
@@ -49,6 +54,7 @@
         self.state = model.FleetState()
         self.on_change: Callable[[model.FleetState], None] = lambda state: None
         self.confirmed_s = 0.0
+        self.updated_s = -math.inf
         self.ready = trio.Event()
         self.replicas: tuple[model.NodeAddress, ...] = ()
         self.clients = ports.PeerClientPool(dialer)
@@ -101,6 +107,7 @@
         Returns:
             Whether the replica is still usable.
         """
+        await trio.sleep_until(self.updated_s + MIN_UPDATE_INTERVAL_S)
         sent_s = trio.current_time()
         request = model.WatchFleet(
             self.get_node(), self.state.index, WATCH_WAIT_S
@@ -141,12 +148,13 @@
         if update.state is not None:
             state = update.state
         else:
-            state = self.state
-            for change in update.changes:
-                state = model.apply_fleet_command(state, change)
-            state = attrs.evolve(state, index=update.index)
+            state = attrs.evolve(
+                model.apply_fleet_commands(self.state, update.changes),
+                index=update.index,
+            )
         changed = state != attrs.evolve(self.state, index=state.index)
         self.state = state
+        self.updated_s = trio.current_time()
         if changed:
             self.events.write(
                 "fleet:applied",
--- a/src/guavapulley/forwarding/_placer.py
+++ b/src/guavapulley/forwarding/_placer.py
@@ -131,7 +131,7 @@
         if (
             tracker is not None
             and tracker.cold_budget is not None
-            and tracker.is_cold()
+            and tracker.is_cold(trio.current_time())
         ):
             tracker.cold_budget.record_send()
         return tracker
--- a/src/guavapulley/forwarding/_region_selector.py
+++ b/src/guavapulley/forwarding/_region_selector.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import trio
+
 from guavapulley import routing
 from guavapulley.forwarding import _registry
 
@@ -62,8 +64,9 @@
         remote = [
             tracker for tracker in eligible if tracker.record.region != region
         ]
+        now_s = trio.current_time()
         waiting = len(self.registry.queue(service).waiters)
-        utilization = _utilization(local, waiting)
+        utilization = _utilization(local, now_s, waiting)
         if local:
             self.affinity_scopes[service].update(
                 utilization, self._requests_per_object(service)
@@ -71,8 +74,10 @@
         if not local or not remote:
             return local or remote
         spillover = self._spillover(service)
-        sampled = [tracker for tracker in remote if tracker.has_recent_sample()]
-        spillover.update(utilization, _utilization(sampled))
+        sampled = [
+            tracker for tracker in remote if tracker.has_recent_sample(now_s)
+        ]
+        spillover.update(utilization, _utilization(sampled, now_s))
         return remote if spillover.is_spilled(key) else local
 
     def _spillover(self, service: str) -> routing.Spillover:
@@ -114,12 +119,15 @@
 
 
 def _utilization(
-    trackers: list[routing.UpstreamTracker], waiting: int = 0
+    trackers: list[routing.UpstreamTracker], now_s: float, waiting: int = 0
 ) -> float:
     """Returns the running and waiting requests relative to the slots."""
     slots = sum(tracker.record.slots for tracker in trackers)
     load = (
-        sum(max(tracker.load(), tracker.mean_load()) for tracker in trackers)
+        sum(
+            max(tracker.load(now_s), tracker.mean_load(now_s))
+            for tracker in trackers
+        )
         + waiting
     )
     return load / slots if slots else 0.0
--- a/src/guavapulley/forwarding/_registry.py
+++ b/src/guavapulley/forwarding/_registry.py
@@ -62,11 +62,15 @@
     def apply_state(self, state: model.FleetState) -> None:
         """Applies a new fleet state."""
         restored_domains = set(self.state.evacuated) - set(state.evacuated)
-        self.state = state
-        self.entries = tuple(node.name for node in state.nodes)
-        self.entries_by_domain = collections.Counter(
-            node.failure_domain for node in state.nodes
+        if state.nodes is not self.state.nodes:
+            self.entries = tuple(node.name for node in state.nodes)
+            self.entries_by_domain = collections.Counter(
+                node.failure_domain for node in state.nodes
+            )
+        policies_changed = (
+            state.routing.services is not self.state.routing.services
         )
+        self.state = state
         policies = {service.name: service for service in state.routing.services}
         listed = {record.upstream for record in state.upstreams}
         names_by_address: dict[model.NodeAddress, str] = {}
@@ -81,6 +85,9 @@
         while len(self.removed) > MAX_REMOVED:
             del self.removed[next(iter(self.removed))]
         for record in state.upstreams:
+            known = self.trackers.get(record.upstream)
+            if known and known.record is record and not policies_changed:
+                continue
             self._apply_record(
                 record, policies.get(record.service), names_by_address
             )
@@ -184,14 +191,15 @@
 
     def report_avoidance(self, tracker: routing.UpstreamTracker) -> None:
         """Logs when an upstream starts or stops being avoided."""
-        reason = tracker.reason_to_avoid()
+        now_s = trio.current_time()
+        reason = tracker.reason_to_avoid(now_s)
         if reason == tracker.avoidance_reason:
             return
         tracker.avoidance_reason = reason
         fields = {
             "upstream": tracker.record.upstream,
-            "failures": round(tracker.current_failure_fraction(), 2),
-            "speed": round(tracker.duration_factor(), 2),
+            "failures": round(tracker.current_failure_fraction(now_s), 2),
+            "speed": round(tracker.duration_factor(now_s), 2),
         }
         if reason is None:
             self.events.write("upstream:trusted", **fields)
@@ -245,10 +253,11 @@
             regions: Allowed regions; empty for all.
             tried: Upstreams that have failed the request.
         """
+        now_s = trio.current_time()
         return (
             tracker
             for tracker in self.by_service.get(service, ())
-            if self._exclusion_reason(tracker, regions, tried) is None
+            if self._exclusion_reason(tracker, regions, tried, now_s) is None
         )
 
     def exclusions(
@@ -266,8 +275,9 @@
             tried: Upstreams that have failed the request.
             candidates: Candidate upstreams, none of which had capacity.
         """
+        now_s = trio.current_time()
         reasons = (
-            self._exclusion_reason(tracker, regions, tried)
+            self._exclusion_reason(tracker, regions, tried, now_s)
             or ("full" if tracker in candidates else "other region")
             for tracker in self.by_service.get(service, ())
         )
@@ -278,18 +288,19 @@
         tracker: routing.UpstreamTracker,
         regions: tuple[str, ...],
         tried: set[str],
+        now_s: float,
     ) -> str | None:
         """Returns why an upstream may not receive a request, or None."""
         record = tracker.record
         if record.upstream in tried:
             return "tried"
-        unavailable = tracker.unavailable_reason()
+        unavailable = tracker.unavailable_reason(now_s)
         if unavailable is not None:
             return unavailable
         forbidden = self._forbidden_reason(record, regions)
         if forbidden is not None:
             return forbidden
-        return None if self._allows_cold_request(tracker) else "cold"
+        return None if self._allows_cold_request(tracker, now_s) else "cold"
 
     def _forbidden_reason(
         self, record: model.UpstreamRecord, regions: tuple[str, ...]
@@ -306,7 +317,7 @@
         record = tracker.record
         return (
             self.trackers.get(record.upstream) is tracker
-            and tracker.unavailable_reason() is None
+            and tracker.unavailable_reason(trio.current_time()) is None
             and record.failure_domain not in self.state.evacuated
         )
 
@@ -324,24 +335,23 @@
             The time, or None if no upstream refuses requests or another one may
             receive the request.
         """
+        now_s = trio.current_time()
         soonest_s = math.inf
         for tracker in self.by_service.get(service, ()):
-            if self._exclusion_reason(tracker, regions, tried) in (
-                None,
-                "cold",
-            ):
+            reason = self._exclusion_reason(tracker, regions, tried, now_s)
+            if reason is None or reason == "cold":
                 return None
             if (
-                tracker.unavailable_reason() == routing.REFUSING
+                tracker.unavailable_reason(now_s) == routing.REFUSING
                 and self._forbidden_reason(tracker.record, regions) is None
             ):
                 soonest_s = min(soonest_s, tracker.refused_until_s)
-        if math.isinf(soonest_s):
-            return None
-        return soonest_s - trio.current_time()
+        return soonest_s - now_s if math.isfinite(soonest_s) else None
 
-    def _allows_cold_request(self, tracker: routing.UpstreamTracker) -> bool:
-        if tracker.cold_budget is None or not tracker.is_cold():
+    def _allows_cold_request(
+        self, tracker: routing.UpstreamTracker, now_s: float
+    ) -> bool:
+        if tracker.cold_budget is None or not tracker.is_cold(now_s):
             return True
         return tracker.cold_budget.can_send(self.entry, self.entries)
 
--- a/src/guavapulley/model/__init__.py
+++ b/src/guavapulley/model/__init__.py
@@ -32,6 +32,7 @@
 from guavapulley.model._fleet import SetEvacuation
 from guavapulley.model._fleet import WatchFleet
 from guavapulley.model._fleet import apply_fleet_command
+from guavapulley.model._fleet import apply_fleet_commands
 from guavapulley.model._messages import ClaimKey
 from guavapulley.model._messages import ClaimReply
 from guavapulley.model._messages import ClaimStatus
@@ -115,6 +116,7 @@
     "SetEvacuation",
     "WatchFleet",
     "apply_fleet_command",
+    "apply_fleet_commands",
     "CallerLimits",
     "Destination",
     "Repeatability",
--- a/src/guavapulley/model/_fleet.py
+++ b/src/guavapulley/model/_fleet.py
@@ -4,11 +4,16 @@
 upstreams and the nodes. Entries keep a copy of it up to date.
 """
 
+from collections.abc import Iterable
+from typing import TypeVar
+
 import attrs
 
 from guavapulley.model import _routing
 from guavapulley.model import _upstreams
 
+T = TypeVar("T")
+
 
 @attrs.frozen
 class NodeRecord:
@@ -191,38 +196,81 @@
     replicas: tuple[_upstreams.NodeAddress, ...] = ()
 
 
+def apply_fleet_commands(
+    state: FleetState, commands: Iterable[FleetCommand]
+) -> FleetState:
+    """Returns the state after accepted commands, with its index unchanged.
+
+    Fields of the state that no command changes stay the same objects.
+    """
+    upstreams = _UpstreamTable(state.upstreams)
+    nodes = {node.name: node for node in state.nodes}
+    for command in commands:
+        match command:
+            case RecordUpstream(record):
+                upstreams.record(record)
+            case RemoveUpstream(name):
+                upstreams.remove(name)
+            case RecordNode(node):
+                nodes.pop(node.name, None)
+                nodes[node.name] = node
+            case RemoveNode(name):
+                nodes.pop(name, None)
+            case SetEvacuation(domain, evacuated):
+                state = _set_evacuation(state, domain, evacuated=evacuated)
+            case ChangeRouting(routing):
+                table = _routing.apply_routing_change(state.routing, routing)
+                state = attrs.evolve(state, routing=table)
+    return attrs.evolve(
+        state,
+        upstreams=_keep_if_equal(state.upstreams, upstreams.records.values()),
+        nodes=_keep_if_equal(state.nodes, nodes.values()),
+    )
+
+
+def _keep_if_equal(
+    previous: tuple[T, ...], items: Iterable[T]
+) -> tuple[T, ...]:
+    """Returns the items, as the previous tuple if it has the same ones."""
+    current = tuple(items)
+    return previous if current == previous else current
+
+
+class _UpstreamTable:
+    """Records of upstreams by name and by address; an address has one record.
+
+    Attributes:
+        records: Records by name of the upstream, in the order of their changes.
+    """
+
+    def __init__(self, records: Iterable[_upstreams.UpstreamRecord]) -> None:
+        self.records = {record.upstream: record for record in records}
+        self.names = {
+            record.address: record.upstream for record in self.records.values()
+        }
+
+    def record(self, record: _upstreams.UpstreamRecord) -> None:
+        """Adds a record, or replaces those of the same name or address."""
+        self.remove(record.upstream)
+        self.remove(self.names.get(record.address, ""))
+        self.records[record.upstream] = record
+        self.names[record.address] = record.upstream
+
+    def remove(self, name: str) -> None:
+        """Removes a record, if there is one."""
+        removed = self.records.pop(name, None)
+        if removed is not None:
+            del self.names[removed.address]
+
+
+def _set_evacuation(
+    state: FleetState, domain: str, *, evacuated: bool
+) -> FleetState:
+    other_domains = (item for item in state.evacuated if item != domain)
+    added = (domain,) if evacuated else ()
+    return attrs.evolve(state, evacuated=(*other_domains, *added))
+
+
 def apply_fleet_command(state: FleetState, command: FleetCommand) -> FleetState:
     """Returns the state after an accepted command, with its index unchanged."""
-    match command:
-        case RecordUpstream(record):
-            other_upstreams = (
-                item
-                for item in state.upstreams
-                if item.upstream != record.upstream
-                and item.address != record.address
-            )
-            return attrs.evolve(state, upstreams=(*other_upstreams, record))
-        case RemoveUpstream(name):
-            return attrs.evolve(
-                state,
-                upstreams=tuple(
-                    item for item in state.upstreams if item.upstream != name
-                ),
-            )
-        case RecordNode(node):
-            other_nodes = (
-                item for item in state.nodes if item.name != node.name
-            )
-            return attrs.evolve(state, nodes=(*other_nodes, node))
-        case RemoveNode(name):
-            return attrs.evolve(
-                state,
-                nodes=tuple(n for n in state.nodes if n.name != name),
-            )
-        case SetEvacuation(domain, evacuated):
-            other_domains = (item for item in state.evacuated if item != domain)
-            added = (domain,) if evacuated else ()
-            return attrs.evolve(state, evacuated=(*other_domains, *added))
-        case ChangeRouting(routing):
-            table = _routing.apply_routing_change(state.routing, routing)
-            return attrs.evolve(state, routing=table)
+    return apply_fleet_commands(state, (command,))
--- a/src/guavapulley/nodes/__init__.py
+++ b/src/guavapulley/nodes/__init__.py
@@ -1,12 +1,10 @@
-"""Core and edge nodes on the users' platform.
+"""Edge nodes on the users' platform, and what core nodes share with them.
 
 A node connects the adapters with the services. The platform passes in the
-translation of its own calls and headers.
+translation of its own calls and headers. Core nodes are in `nodes.core`.
 """
 
-from guavapulley.nodes._core import CoreApi
-from guavapulley.nodes._core import run_core
 from guavapulley.nodes._edge import run_edge
 from guavapulley.nodes._settings import NodeSettings
 
-__all__ = ["CoreApi", "NodeSettings", "run_core", "run_edge"]
+__all__ = ["NodeSettings", "run_edge"]
--- a/src/guavapulley/routing/_budgets.py
+++ b/src/guavapulley/routing/_budgets.py
@@ -78,6 +78,9 @@
         self.sent = _windows.SlidingWindowCounter(
             COLD_WINDOW_S + ARRIVAL_JITTER_S
         )
+        # The allowance, and the entries for which it was computed.
+        self.allowance = 0
+        self.allowance_entries: tuple[str, ...] | None = None
 
     def can_send(self, entry: str, entries: tuple[str, ...]) -> bool:
         """Returns whether this entry may send one more request now.
@@ -86,10 +89,12 @@
             entry: Name of this entry.
             entries: Names of all entries known to this one.
         """
-        allowance = self._allowance(entry, entries)
-        return self.sent.value() + 1 <= allowance
+        if self.allowance_entries is not entries:
+            self.allowance = self._compute_allowance(entry, entries)
+            self.allowance_entries = entries
+        return self.sent.value() + 1 <= self.allowance
 
-    def _allowance(self, entry: str, entries: tuple[str, ...]) -> int:
+    def _compute_allowance(self, entry: str, entries: tuple[str, ...]) -> int:
         total = int(self.rate_per_s * USED_FRACTION)
         ranked = sorted({*entries, entry}, key=self._rank)
         position = ranked.index(entry)
--- a/src/guavapulley/routing/_placement.py
+++ b/src/guavapulley/routing/_placement.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 import attrs
+import trio
 
 from guavapulley import model
 from guavapulley.routing import _hashing
@@ -93,7 +94,7 @@
         The upstream, or None if none has free capacity.
     """
     candidates = list(trackers)
-    ranks = _ranks(
+    preferred = _preferred(
         candidates,
         location,
         affinity_key,
@@ -101,7 +102,7 @@
         region_wide=region_wide,
     )
     costs = _costs(
-        candidates, location, affinity_key, ranks, region_wide=region_wide
+        candidates, location, affinity_key, preferred, region_wide=region_wide
     )
     best = min(costs, key=lambda pair: pair[0], default=None)
     return best[1] if best else None
@@ -111,48 +112,44 @@
     trackers: list[_trackers.UpstreamTracker],
     location: Location,
     affinity_key: str | None,
-    ranks: dict[str, int],
+    preferred: frozenset[str],
     *,
     region_wide: bool,
 ) -> Iterator[tuple[float, _trackers.UpstreamTracker]]:
+    now_s = trio.current_time()
     for tracker in trackers:
         slots = max(1, tracker.record.slots)
-        load = tracker.load()
+        load = tracker.load(now_s)
         warm = affinity_key is not None and affinity_key in tracker.warm_keys
-        is_preferred = ranks.get(tracker.record.upstream) == 0
+        is_preferred = tracker.record.upstream in preferred
         overcommit = WARM_OVERCOMMIT if warm or is_preferred else 0.0
         if load + 1 > slots * (1 + overcommit) + LOAD_TOLERANCE:
             continue
         queued_per_slot = max(0.0, load + 1 - slots) / slots
-        work = tracker.duration_factor() * _work_factor(
-            ranks, tracker, warm=warm
-        )
-        if tracker.is_cold():
+        work = tracker.duration_factor(now_s)
+        if warm:
+            work *= WARM_FACTOR
+        elif is_preferred:
+            work *= PREFERRED_FACTOR
+        if tracker.is_cold(now_s):
             work *= COLD_FACTOR
         cost = work + LOAD_COST * load / slots + QUEUE_COST * queued_per_slot
         cost += location.distance_cost(tracker.record, region_wide=region_wide)
-        yield cost + FAILURE_COST * tracker.current_failure_fraction(), tracker
-
+        cost += FAILURE_COST * tracker.current_failure_fraction(now_s)
+        yield cost, tracker
 
-def _work_factor(
-    ranks: dict[str, int], tracker: _trackers.UpstreamTracker, *, warm: bool
-) -> float:
-    if warm:
-        return WARM_FACTOR
-    return PREFERRED_FACTOR if ranks.get(tracker.record.upstream) == 0 else 1.0
 
-
-def _ranks(
+def _preferred(
     trackers: list[_trackers.UpstreamTracker],
     location: Location,
     affinity_key: str | None,
     object_count: int,
     *,
     region_wide: bool,
-) -> dict[str, int]:
-    """Returns each upstream's position in the order that it belongs to."""
+) -> frozenset[str]:
+    """Returns the names of the first upstream of each order."""
     if affinity_key is None:
-        return {}
+        return frozenset()
     local_upstreams = sum(
         tracker.record.failure_domain == location.failure_domain
         for tracker in trackers
@@ -168,10 +165,10 @@
         if record.region == location.region:
             group = record.failure_domain if by_domain else record.region
         groups.setdefault(group, []).append(record.upstream)
-    ranks: dict[str, int] = {}
-    for names in groups.values():
-        names.sort(
-            key=lambda name: _hashing.rendezvous_rank(name, affinity_key)
+    return frozenset(
+        min(
+            names,
+            key=lambda name: _hashing.rendezvous_rank(name, affinity_key),
         )
-        ranks.update((name, position) for position, name in enumerate(names))
-    return ranks
+        for names in groups.values()
+    )
--- a/src/guavapulley/routing/_trackers.py
+++ b/src/guavapulley/routing/_trackers.py
@@ -50,7 +50,9 @@
 class UpstreamTracker:
     """Estimated state of one incarnation of an upstream.
 
-    Points in time are in seconds on trio's clock.
+    Points in time are in seconds on trio's clock. Estimates are for a time that
+    the calling code passes, so that one decision on hundreds of upstreams reads
+    the clock once.
 
     Attributes:
         record: What the upstream announced.
@@ -107,79 +109,80 @@
     warm_keys: dict[str, None] = attrs.field(factory=dict)
     avoidance_reason: str | None = None
 
-    def load(self) -> float:
+    def load(self, now_s: float) -> float:
         """Returns the estimated number of requests at the upstream."""
-        age_s = trio.current_time() - self.sampled_s
+        age_s = now_s - self.sampled_s
         # Leaves one slot free, so that a high average does not keep the
         # upstream from being tried: only an answer shows that it has capacity
         # again.
         baseline = min(
-            self._current_mean_other_requests(), max(0, self.record.slots - 1)
+            self._current_mean_other_requests(now_s),
+            max(0, self.record.slots - 1),
         )
         return self.in_flight + _decay.decay(
             self.other_requests, baseline, age_s, OTHER_REQUESTS_HALF_LIFE_S
         )
 
-    def _current_mean_other_requests(self) -> float:
+    def _current_mean_other_requests(self, now_s: float) -> float:
         """Returns the mean, decayed to the typical load by its age."""
-        age_s = trio.current_time() - self.sampled_s
-        typical_load = self.typical_load.current() * self.record.slots
+        age_s = now_s - self.sampled_s
+        typical_load = self.typical_load.current(now_s) * self.record.slots
         return _decay.decay(
             self.mean_other_requests, typical_load, age_s, MEAN_LOAD_HALF_LIFE_S
         )
 
-    def mean_load(self) -> float:
+    def mean_load(self, now_s: float) -> float:
         """Returns the moving average of the requests at the upstream.
 
         Unlike `load`, it does not react to single requests, and the requests of
         other entries do not decay quickly between two samples.
         """
-        age_s = trio.current_time() - self.sampled_s
+        age_s = now_s - self.sampled_s
         return _decay.decay(
             self.mean_requests, 0.0, age_s, MEAN_LOAD_HALF_LIFE_S
         )
 
-    def has_recent_sample(self) -> bool:
+    def has_recent_sample(self, now_s: float) -> bool:
         """Returns whether the last load sample is recent enough to use."""
-        age_s = trio.current_time() - self.sampled_s
+        age_s = now_s - self.sampled_s
         return age_s < MAX_SAMPLE_AGE_S
 
-    def duration_factor(self) -> float:
+    def duration_factor(self, now_s: float) -> float:
         """Returns the estimated duration relative to a typical upstream."""
-        age_s = trio.current_time() - self.sampled_s
+        age_s = now_s - self.sampled_s
         slowdown = _decay.decay(self.slowdown, 1.0, age_s, SLOWDOWN_HALF_LIFE_S)
         return max(
-            MIN_DURATION_FACTOR, slowdown * self._current_duration_ratio()
+            MIN_DURATION_FACTOR, slowdown * self._current_duration_ratio(now_s)
         )
 
-    def _current_duration_ratio(self) -> float:
-        age_s = trio.current_time() - self.outcomes_updated_s
+    def _current_duration_ratio(self, now_s: float) -> float:
+        age_s = now_s - self.outcomes_updated_s
         return _decay.decay(
             self.duration_ratio, 1.0, age_s, DURATION_RATIO_HALF_LIFE_S
         )
 
-    def current_failure_fraction(self) -> float:
+    def current_failure_fraction(self, now_s: float) -> float:
         """Returns the estimated fraction of requests that fail, from 0 to 1."""
-        age_s = trio.current_time() - self.outcomes_updated_s
+        age_s = now_s - self.outcomes_updated_s
         return _decay.decay(
             self.failure_fraction, 0.0, age_s, FAILURE_HALF_LIFE_S
         )
 
-    def is_cold(self) -> bool:
+    def is_cold(self, now_s: float) -> bool:
         """Returns whether it is still cold."""
-        return trio.current_time() < self.cold_until_s
+        return now_s < self.cold_until_s
 
-    def reason_to_avoid(self) -> str | None:
+    def reason_to_avoid(self, now_s: float) -> str | None:
         """Returns why it gets fewer requests than its peers, or None."""
-        if self.current_failure_fraction() >= AVOIDED_FAILURE_FRACTION:
+        if self.current_failure_fraction(now_s) >= AVOIDED_FAILURE_FRACTION:
             return "failing"
         return (
             "slow"
-            if self._current_duration_ratio() >= AVOIDED_DURATION_RATIO
+            if self._current_duration_ratio(now_s) >= AVOIDED_DURATION_RATIO
             else None
         )
 
-    def unavailable_reason(self) -> str | None:
+    def unavailable_reason(self, now_s: float) -> str | None:
         """Returns why it may not receive requests now; None if it may."""
         if self.replaced:
             return "replaced"
@@ -187,9 +190,9 @@
             return model.UpstreamState.LEAVING.value
         if self.record.state is not model.UpstreamState.READY:
             return self.record.state.value
-        if trio.current_time() < self.refused_until_s:
+        if now_s < self.refused_until_s:
             return REFUSING
-        if trio.current_time() < self.backoff_until_s:
+        if now_s < self.backoff_until_s:
             return "unreachable"
         return None
 
@@ -225,9 +228,10 @@
             ran: Whether the answered request ran. If so the stated load still
                 includes it, while `in_flight` no longer does.
         """
-        self.mean_requests = self.mean_load()
-        previous_mean = self._current_mean_other_requests()
-        self.sampled_s = trio.current_time()
+        now_s = trio.current_time()
+        self.mean_requests = self.mean_load(now_s)
+        previous_mean = self._current_mean_other_requests(now_s)
+        self.sampled_s = now_s
         at_upstream = sample.running + sample.queued - ran
         self.mean_requests += SAMPLE_WEIGHT * (at_upstream - self.mean_requests)
         self.other_requests = max(0.0, float(at_upstream - self.in_flight))
@@ -244,30 +248,34 @@
             relative_duration: Its duration relative to the typical one of the
                 service; None if it does not indicate the speed of the upstream.
         """
-        duration_ratio = self._current_duration_ratio()
+        now_s = trio.current_time()
+        duration_ratio = self._current_duration_ratio(now_s)
         if relative_duration is not None:
             capped = min(relative_duration, MAX_RELATIVE_DURATION)
             duration_ratio += DURATION_RATIO_WEIGHT * (capped - duration_ratio)
         self._set_outcome_stats(
-            self.current_failure_fraction() * (1 - FAILURE_WEIGHT),
+            now_s,
+            self.current_failure_fraction(now_s) * (1 - FAILURE_WEIGHT),
             duration_ratio,
         )
         self.backoff_s = INITIAL_BACKOFF_S
 
     def record_failure(self) -> None:
         """Records an incomplete answer, a rejection or a failed request."""
-        failure_fraction = self.current_failure_fraction()
+        now_s = trio.current_time()
+        failure_fraction = self.current_failure_fraction(now_s)
         self._set_outcome_stats(
+            now_s,
             failure_fraction + FAILURE_WEIGHT * (1 - failure_fraction),
-            self._current_duration_ratio(),
+            self._current_duration_ratio(now_s),
         )
 
     def _set_outcome_stats(
-        self, failure_fraction: float, duration_ratio: float
+        self, now_s: float, failure_fraction: float, duration_ratio: float
     ) -> None:
         self.failure_fraction = failure_fraction
         self.duration_ratio = duration_ratio
-        self.outcomes_updated_s = trio.current_time()
+        self.outcomes_updated_s = now_s
 
     def record_connect_failure(self) -> None:
         """Starts a backoff after a failed connection attempt."""
--- a/src/guavapulley/routing/_typical_load.py
+++ b/src/guavapulley/routing/_typical_load.py
@@ -33,12 +33,13 @@
             other_requests: Requests of other entries at the upstream.
             slots: Requests that the upstream runs at a time.
         """
-        previous = self.current()
-        self.updated_s = trio.current_time()
+        now_s = trio.current_time()
+        previous = self.current(now_s)
+        self.updated_s = now_s
         sample = other_requests / max(1, slots)
         self.requests_per_slot = previous + SAMPLE_WEIGHT * (sample - previous)
 
-    def current(self) -> float:
+    def current(self, now_s: float) -> float:
         """Returns the decayed number of requests of other entries per slot."""
-        age_s = trio.current_time() - self.updated_s
+        age_s = now_s - self.updated_s
         return _decay.decay(self.requests_per_slot, 0.0, age_s, HALF_LIFE_S)
--- a/tests/routing/test_durations.py
+++ b/tests/routing/test_durations.py
@@ -1,6 +1,7 @@
 """Guards against wrong estimates of the speed of an upstream."""
 
 import pytest
+import trio
 
 from guavapulley import routing
 from tests.routing import stubs
@@ -32,18 +33,18 @@
 ):
     # Otherwise requests would leave the upstream that just became warm.
     tracker = tracker_after(*[(COLD_S, 1.0, False)] * 5)
-    assert tracker.duration_factor() == pytest.approx(1.0)
+    assert tracker.duration_factor(trio.current_time()) == pytest.approx(1.0)
 
 
 async def test_a_stated_slowdown_is_not_counted_twice(autojump_clock):
     # The slowdown ends within a second; the duration ratio decays more slowly.
     tracker = tracker_after(*[(2.5 * WARM_S, 2.5, True)] * 5)
-    assert tracker.duration_factor() == pytest.approx(1.0)
+    assert tracker.duration_factor(trio.current_time()) == pytest.approx(1.0)
 
 
 async def test_unexplained_slowness_raises_the_duration_factor(autojump_clock):
     tracker = tracker_after(*[(5 * WARM_S, 1.0, True)] * 5)
-    assert tracker.duration_factor() > 2.5
+    assert tracker.duration_factor(trio.current_time()) > 2.5
 
 
 def test_the_overall_duration_includes_cold_requests():
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -59,7 +59,7 @@
     for _ in range(20):
         busy.record_sample(ports.LoadSample(6, 0, 8), ran=False)
         await trio.sleep(1)
-    assert 5 < busy.load() < 6.1
+    assert 5 < busy.load(trio.current_time()) < 6.1
     idle = stubs.make_tracker("idle", slots=8)
     assert routing.find_cheapest([busy, idle], LOCATION, None) is idle
 
@@ -72,9 +72,9 @@
     new = stubs.make_tracker("new", slots=4, typical_load=typical_load)
     for _ in range(60):
         sampled.record_sample(ports.LoadSample(2, 0, 4), ran=False)
-    assert new.load() == pytest.approx(2, abs=0.1)
+    assert new.load(trio.current_time()) == pytest.approx(2, abs=0.1)
     await trio.sleep(60)
-    assert new.load() < 0.1
+    assert new.load(trio.current_time()) < 0.1
 
 
 async def test_a_full_upstream_is_tried_again_without_new_samples(
@@ -102,7 +102,7 @@
     unreachable = stubs.make_tracker("lost")
     unreachable.record_connect_failure()
     first_s = unreachable.backoff_until_s
-    assert unreachable.unavailable_reason() == "unreachable"
+    assert unreachable.unavailable_reason(trio.current_time()) == "unreachable"
     unreachable.record_connect_failure()
     assert unreachable.backoff_until_s > first_s
 
@@ -112,9 +112,9 @@
 ):
     free = stubs.make_tracker("free")
     free.record_sample(ports.LoadSample(1, 0, 3), ran=True)
-    assert free.load() == 0
+    assert free.load(trio.current_time()) == 0
     free.record_sample(ports.LoadSample(1, 0, 3), ran=False)
-    assert free.load() == 1
+    assert free.load(trio.current_time()) == 1
 
 
 @pytest.mark.parametrize(
