--- a/src/guavapulley/experiments/_callers.py
+++ b/src/guavapulley/experiments/_callers.py
@@ -151,6 +151,7 @@
                     ("caller-timeout", str(remaining_s)),
                     ("key", key),
                     ("work", str(work_factor)),
+                    ("sent-at", str(sent_at_s)),
                 ),
             )
         )
--- a/src/guavapulley/experiments/_ledger.py
+++ b/src/guavapulley/experiments/_ledger.py
@@ -68,6 +68,8 @@
         outcomes: Outcome of each request.
         refusals: Refusals by entries, also of requests that were retried.
         exchanges: Number of exchanges with upstreams by distance.
+        violations: Number of requests that reached an upstream against its
+            will, by kind; see `WithdrawalChecker`.
     """
 
     outcomes: list[Outcome] = attrs.field(factory=list)
@@ -75,6 +77,9 @@
     exchanges: collections.Counter[Distance] = attrs.field(
         factory=collections.Counter
     )
+    violations: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     def credit(self) -> float:
         """Returns the earned value as a fraction of the possible value."""
--- a/src/guavapulley/experiments/_patterns.py
+++ b/src/guavapulley/experiments/_patterns.py
@@ -72,11 +72,13 @@
     Attributes:
         starts_at_s: Time in the run at which it starts, in seconds.
         duration_s: Duration in seconds.
-        kind: `slow`, `fail`, `crash`, `evacuate` or `restart`.
+        kind: `slow`, `fail`, `crash`, `leave`, `refuse`, `evacuate` or
+            `restart`. Upstreams that leave say so in their answers only.
         fraction: Fraction of the upstreams that it affects; for `evacuate`, the
             index of the failure domain in `LoadPattern.regions`.
         factor: For `slow`, the factor by which work takes longer; for `fail`,
-            the fraction of the requests that fail.
+            the fraction of the requests that fail; for `refuse`, the seconds
+            for which an upstream wants no further requests.
     """
 
     starts_at_s: float
@@ -299,6 +301,15 @@
             Disturbance(13, 8, "fail", 0.15, 0.5),
         ),
     ),
+    "galvanovna-withdrawals": attrs.evolve(
+        GALVANOVNA,
+        summary="upstreams that leave, and that refuse requests for a time",
+        disturbances=(
+            Disturbance(3, 20, "leave", 0.25),
+            Disturbance(6, 4, "refuse", 0.4, 1.5),
+            Disturbance(14, 3, "refuse", 1.0, 1.0),
+        ),
+    ),
     "galvanovna-restart": attrs.evolve(
         GALVANOVNA,
         summary="all entries lose power and return",
--- a/src/guavapulley/experiments/_run.py
+++ b/src/guavapulley/experiments/_run.py
@@ -191,23 +191,29 @@
     async def _degrade_upstreams(
         self, disturbance: _patterns.Disturbance
     ) -> None:
-        """Slows, fails or stops a random fraction of the upstreams."""
+        """Disturbs a random fraction of the upstreams for some time."""
         affected = [
             upstream
             for upstream in self.upstreams.values()
             if self.rng.random() < disturbance.fraction
         ]
         for upstream in affected:
-            if disturbance.kind == "slow":
-                upstream.slow_factor = disturbance.factor
-            elif disturbance.kind == "fail":
-                upstream.failure_fraction = disturbance.factor
-            else:
-                upstream.down = True
+            match disturbance.kind:
+                case "slow":
+                    upstream.slow_factor = disturbance.factor
+                case "fail":
+                    upstream.failure_fraction = disturbance.factor
+                case "leave":
+                    upstream.leaving = True
+                case "refuse":
+                    upstream.refusal_s = disturbance.factor
+                case _:
+                    upstream.down = True
         await trio.sleep(disturbance.duration_s)
         for upstream in affected:
             upstream.slow_factor, upstream.failure_fraction = 1.0, 0.0
-            upstream.down = False
+            upstream.down = upstream.leaving = False
+            upstream.refusal_s = 0.0
 
 
 def run_pattern(
--- a/src/guavapulley/experiments/_upstreams.py
+++ b/src/guavapulley/experiments/_upstreams.py
@@ -11,6 +11,7 @@
 from guavapulley import ports
 from guavapulley.experiments import _ledger
 from guavapulley.experiments import _patterns
+from guavapulley.experiments import _withdrawals
 
 # A connection to an upstream that is down fails after this time.
 CONNECT_TIMEOUT_S = 0.5
@@ -32,6 +33,9 @@
         slow_factor: Factor by which a disturbance makes its work longer.
         failure_fraction: Fraction of its requests that fail.
         down: Whether it answers no request.
+        leaving: Whether all its answers say that it leaves.
+        refusal_s: Seconds for which it refuses requests in each answer; 0 if it
+            serves them.
         running: Number of requests that hold a slot.
         started_requests: Number of requests on which it has started to work.
         waiting: Events of the requests that wait for a slot, oldest first.
@@ -44,6 +48,8 @@
     slow_factor: float = 1.0
     failure_fraction: float = 0.0
     down: bool = False
+    leaving: bool = False
+    refusal_s: float = 0.0
     running: int = 0
     started_requests: int = 0
     waiting: collections.deque[trio.Event] = attrs.field(
@@ -58,7 +64,7 @@
             key: Key of the requested object.
             work_factor: Work of the request relative to the mean.
         """
-        if len(self.waiting) >= self.service_model.max_queued:
+        if self.refusal_s or len(self.waiting) >= self.service_model.max_queued:
             return 503
         if self.running >= self.service_model.slots:
             slot_granted = trio.Event()
@@ -135,6 +141,7 @@
         self.pattern = pattern
         self.domain = domain
         self.ledger = ledger
+        self.checker = _withdrawals.WithdrawalChecker(ledger.violations)
         self.delays_s = {
             _ledger.Distance.SAME_DOMAIN: 0.0,
             _ledger.Distance.OTHER_DOMAIN: pattern.domain_delay_s,
@@ -167,6 +174,13 @@
         self.ledger.exchanges[distance] += 1
         delay_s = self.delays_s[distance]
         await trio.sleep(delay_s)
+        if not may_send():
+            raise ports.UpstreamError(
+                ports.UPSTREAM_WITHDRAWN, "it withdrew", not_run=True
+            )
+        self.checker.record_arrival(
+            upstream, float(request.header("sent-at") or 0)
+        )
         status = await target.serve(
             request.header("key") or "", float(request.header("work") or 1)
         )
@@ -175,6 +189,12 @@
         headers = [("load", load), ("slowdown", str(target.noise_factor()))]
         if status == 503:
             headers.append(("not-run", "1"))
+        if target.leaving:
+            headers.append(("leaving", "1"))
+            self.checker.record_leaving(upstream)
+        if status == 503 and target.refusal_s:
+            headers.append(("refusal", str(target.refusal_s)))
+            self.checker.record_refusal(upstream, target.refusal_s)
         return model.Answer(model.AnswerHead(status, tuple(headers)))
 
 
@@ -215,4 +235,8 @@
             load=ports.LoadSample(
                 running, queued, slots, float(headers["slowdown"])
             ),
+            leaving="leaving" in headers,
+            refusal_s=float(headers["refusal"])
+            if "refusal" in headers
+            else None,
         )
