--- a/src/guavapulley/adapters/http1/_client.py
+++ b/src/guavapulley/adapters/http1/_client.py
@@ -232,6 +232,8 @@
                 parser.feed(data)
             else:
                 parser.receive_eof()
+            # Hundreds of exchanges that wait would keep as many buffers.
+            del data
 
 
 def _is_open_and_silent(stream: trio.SocketStream) -> bool:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -83,6 +83,25 @@
     return int(status_line.split()[1]), received_headers, received_body
 
 
+async def receive_headers(stream):
+    """Returns the headers of a request by name, in lower case.
+
+    Returns:
+        The headers, or None if the connection ends before.
+    """
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = await stream.receive_some(65_536)
+        if not received:
+            return None
+        data += received
+    return dict(
+        line.lower().split(": ", 1)
+        for line in data.decode().split("\r\n")[1:]
+        if line
+    )
+
+
 @attrs.define
 class Node:
     """One node process.
