Let the soak's servers leave and refuse requests, with two checkers

A draining server says so in its answers, and the fault refuse_requests makes a server turn requests away with Retry-After. leaving_heard and refusals_heeded count what reaches such a server from an edge that was told. Also: the variant no-drain replaces unavailable_reason with its new argument; without it the variant raised an error instead of ignoring drains.

--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -20,6 +20,9 @@
 GRACE_S = 4.0
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10.0
 MAX_COLD_REQUESTS_PER_S = 4.0 * 1.5 + 5
+# Requests that are under way when a server refuses may still reach it.
+UNDER_WAY_S = 0.5
+MAX_REFUSED_ARRIVALS = 2
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -74,6 +77,48 @@
             )
 
 
+def leaving_heard(observed: history.History) -> Iterator[str]:
+    """An edge sends nothing to a server once it passed on that it leaves."""
+    heard_s: dict[tuple[str, str], float] = {}
+    pairs = list(_arrivals_with_answers(observed))
+    for arrival, answer in pairs:
+        if arrival.leaving and answer.signed and answer.status:
+            key = (answer.edge, arrival.server)
+            heard_s[key] = min(answer.ended_s, heard_s.get(key, answer.ended_s))
+    for arrival, answer in pairs:
+        since_s = heard_s.get((answer.edge, arrival.server), float("inf"))
+        if answer.sent_s > since_s + DRAIN_S and observed.is_undisturbed(
+            answer.edge, since_s, arrival.at_s
+        ):
+            yield (
+                f"{arrival.request_id} reached {arrival.server}, which had told"
+                f" {answer.edge} that it leaves"
+            )
+
+
+def refusals_heeded(observed: history.History) -> Iterator[str]:
+    """An edge sends nothing to a server in the time for which it refuses."""
+    pairs = list(_arrivals_with_answers(observed))
+    for refused, told in pairs:
+        if not refused.refusal_s:
+            continue
+        start_s = refused.at_s + UNDER_WAY_S
+        end_s = refused.at_s + refused.refusal_s
+        reached = [
+            arrival
+            for arrival, answer in pairs
+            if (arrival.server, answer.edge) == (refused.server, told.edge)
+            and start_s < arrival.at_s < end_s
+        ]
+        if len(reached) > MAX_REFUSED_ARRIVALS and observed.is_undisturbed(
+            told.edge, refused.at_s, end_s
+        ):
+            yield (
+                f"{len(reached)} requests from {told.edge} reached"
+                f" {refused.server}, which refuses them"
+            )
+
+
 def evacuated(observed: history.History) -> Iterator[str]:
     """An evacuated zone gets no request once `EVACUATE_S` has passed."""
     for evacuation in (
@@ -258,6 +303,8 @@
     not_run_is_true,
     whole_answers,
     drained,
+    leaving_heard,
+    refusals_heeded,
     evacuated,
     never_older,
     one_winner,
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -45,6 +45,9 @@
         status: Status of the answer that the server gives it.
         body: Hash of the body of that answer.
         cold: Whether the server was cold at that time.
+        leaving: Whether the answer says that the server leaves.
+        refusal_s: Seconds for which the answer asks for no further requests; 0
+            without such a time.
     """
 
     request_id: str
@@ -55,6 +58,8 @@
     status: int
     body: str
     cold: bool = False
+    leaving: bool = False
+    refusal_s: float = 0.0
 
 
 @attrs.frozen
--- a/tests/soak/injectors.py
+++ b/tests/soak/injectors.py
@@ -265,6 +265,14 @@
         setattr(server, fraction, 0.0)
 
 
+async def refuse_requests(system, location):
+    """Makes a server turn away requests and say for how long, for a while."""
+    server = location.server
+    server.refusal_s = system.fault_rng.uniform(0.8, 2.5)
+    await trio.sleep(system.fault_rng.uniform(1, 4))
+    server.refusal_s = 0.0
+
+
 async def fail_service(system, location):
     """Makes all servers of a service fail most requests for a while."""
     members = [
@@ -343,6 +351,7 @@
     slow_server,
     spoil_server,
     spoil_server,
+    refuse_requests,
     fail_service,
     cut_server,
     delay_server,
--- a/tests/soak/simulators.py
+++ b/tests/soak/simulators.py
@@ -67,6 +67,8 @@
         lost_fraction: Fraction of the requests that it runs and never answers.
         truncated_fraction: Fraction of the answers that it truncates.
         failing_fraction: Fraction of the requests that it fails.
+        refusal_s: Seconds for which it turns away requests in each answer; 0 if
+            it serves them.
         cold_until_s: Time at which it stops being cold, on trio's clock.
         started_unix_ms: Unix time of its start, in milliseconds.
         sequence: Number of its last heartbeat.
@@ -86,6 +88,7 @@
     lost_fraction: float = 0.0
     truncated_fraction: float = 0.0
     failing_fraction: float = 0.0
+    refusal_s: float = 0.0
     cold_until_s: float = 0.0
     started_unix_ms: int = attrs.field(
         factory=lambda: time.time_ns() // 1_000_000
@@ -119,8 +122,8 @@
         request_id = headers.get("request-id", "")
         if headers.get("expect-instance", self.name) != self.name:
             return self._refuse(421, request_id)
-        if self.waiting >= QUEUE_LIMIT:
-            return self._refuse(503, request_id)
+        if self.refusal_s or self.waiting >= QUEUE_LIMIT:
+            return self._refuse(503, request_id, self.refusal_s)
         self.waiting += 1
         try:
             async with self.slots:
@@ -134,13 +137,18 @@
             self.waiting = max(0, self.waiting - 1)
             raise
 
-    def _refuse(self, status, request_id):
-        self._record_arrival(request_id, ran=False, status=status, body=b"")
+    def _refuse(self, status, request_id, refusal_s=0.0):
+        self._record_arrival(
+            request_id, ran=False, status=status, body=b"", refusal_s=refusal_s
+        )
+        header_lines = "Not-Executed: 1\r\n"
+        if refusal_s:
+            header_lines += f"Retry-After: {refusal_s}\r\n"
         return self._encode_answer(
-            status, request_id, b"", b"Not-Executed: 1\r\n"
+            status, request_id, b"", header_lines.encode()
         )
 
-    def _record_arrival(self, request_id, *, ran, status, body):
+    def _record_arrival(self, request_id, *, ran, status, body, refusal_s=0.0):
         now_s = trio.current_time()
         self.observed.arrivals.append(
             history.Arrival(
@@ -152,6 +160,8 @@
                 status,
                 digest(body),
                 now_s < self.cold_until_s,
+                self.state == "draining",
+                refusal_s,
             )
         )
 
@@ -170,6 +180,8 @@
             f"HTTP/1.1 {status} -\r\nRequest-Id: {request_id}\r\n"
             f"Server-Load: {load}\r\nContent-Length: {len(body)}\r\n"
         )
+        if self.state == "draining":
+            head += "Server-Leaving: 1\r\n"
         return head.encode() + header_line + b"\r\n" + body
 
     def next_heartbeat(self):
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -42,6 +42,26 @@
     "not_run_is_true": {"answers": [attrs.evolve(ANSWER, status=503)]},
     "whole_answers": {"answers": [attrs.evolve(ANSWER, body="half")]},
     "drained": {"commands": [CHANGE, history.Command("drain", "u1", 97.0)]},
+    "leaving_heard": {
+        "answers": [
+            attrs.evolve(ANSWER, request_id="r0", sent_s=95.0, ended_s=96.0),
+            ANSWER,
+        ],
+        "arrivals": [
+            attrs.evolve(ARRIVAL, request_id="r0", at_s=95.5, leaving=True),
+            ARRIVAL,
+        ],
+    },
+    "refusals_heeded": {
+        "answers": [attrs.evolve(ANSWER, request_id="r0", status=None)]
+        + evolve_many(ANSWER, 3, request_id=lambda index: f"s{index}"),
+        "arrivals": [
+            attrs.evolve(
+                ARRIVAL, request_id="r0", at_s=98.0, ran=False, refusal_s=3.0
+            )
+        ]
+        + evolve_many(ARRIVAL, 3, request_id=lambda index: f"s{index}"),
+    },
     "evacuated": {
         "commands": [CHANGE, history.Command("evacuate", "pb-1", 94.0)]
     },
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -43,7 +43,33 @@
 def _ignore_drains():
     from guavapulley.routing import _trackers
 
-    _trackers.UpstreamTracker.unavailable_reason = lambda self: None
+    _trackers.UpstreamTracker.unavailable_reason = lambda self, now_s: None
+
+
+def _forget_before_each_check(attribute):
+    from guavapulley.routing import _trackers
+
+    original = _trackers.UpstreamTracker.unavailable_reason
+
+    def unavailable_reason(self, now_s):
+        setattr(self, attribute, 0)
+        return original(self, now_s)
+
+    _trackers.UpstreamTracker.unavailable_reason = unavailable_reason
+
+
+def _ignore_leaving():
+    from guavapulley.fleet import _machine
+
+    # The fleet state would exclude the server as well.
+    _machine.FleetStateMachine._is_newer_record = lambda self, record: (
+        self.upstream(record.upstream) is None
+    )
+    _forget_before_each_check("leaving")
+
+
+def _ignore_refusals():
+    _forget_before_each_check("refused_until_s")
 
 
 def _ignore_evacuations():
@@ -152,6 +178,12 @@
     ),
     "half-answers": Variant("whole_answers", "change", _truncate_answers),
     "no-drain": Variant("drained", "drain_server", _ignore_drains),
+    "deaf-to-leaving": Variant(
+        "leaving_heard", "drain_server", _ignore_leaving
+    ),
+    "deaf-to-refusals": Variant(
+        "refusals_heeded", "refuse_requests", _ignore_refusals
+    ),
     "no-evacuation": Variant("evacuated", "evacuate", _ignore_evacuations),
     "older": Variant("never_older", "change", _apply_older_states),
     "two-winners": Variant("one_winner", "change", _accept_all_changes),
