--- a/src/guavapulley/consensus/_applier.py
+++ b/src/guavapulley/consensus/_applier.py
@@ -105,7 +105,10 @@
         await state.env.store.save_snapshot(snapshot)
         current = state.log.snapshot
         if current is None or current.index < index:
-            state.log.compact(snapshot, state.env.settings.trailing_entries)
+            settings = state.env.settings
+            state.log.compact(
+                snapshot, settings.trailing_entries, settings.trailing_bytes
+            )
         state.env.metrics.gauge("replica.snapshot_bytes", len(snapshot.state))
         state.env.events.write(
             "replica:snapshot_made", index=index, bytes=len(snapshot.state)
--- a/src/guavapulley/consensus/_journal.py
+++ b/src/guavapulley/consensus/_journal.py
@@ -70,10 +70,6 @@
         return self.snapshot.index
 
 
-def _payload_bytes(operation: _Append) -> int:
-    return sum(len(entry.payload) for entry in operation.entries)
-
-
 class Journal:
     """The log in memory with a queue of writes to the store.
 
@@ -150,12 +146,12 @@
         if not isinstance(operation, _Append):
             return operation
         group = list(operation.entries)
-        size = _payload_bytes(operation)
+        size = _log.total_payload_bytes(operation.entries)
         while self.pending and len(group) < MAX_GROUP_ENTRIES:
             next_operation = self.pending[0]
             if not isinstance(next_operation, _Append):
                 break
-            size += _payload_bytes(next_operation)
+            size += _log.total_payload_bytes(next_operation.entries)
             if size > MAX_GROUP_BYTES:
                 break
             group.extend(next_operation.entries)
--- a/src/guavapulley/consensus/_leader_term.py
+++ b/src/guavapulley/consensus/_leader_term.py
@@ -44,6 +44,7 @@
         pipelining: Whether entries are sent before earlier ones are answered.
             If false, the leader probes for the last entry in common first.
         in_flight: Number of unanswered calls with entries.
+        bytes_in_flight: Payload bytes in these calls.
         probe_requested: Whether a probe shall be sent immediately.
         sent_s: When the last call was sent.
         entries_sent_s: When the last call with entries was sent.
@@ -57,6 +58,7 @@
     match_index: int = 0
     pipelining: bool = False
     in_flight: int = 0
+    bytes_in_flight: int = 0
     probe_requested: bool = True
     sent_s: float = -math.inf
     entries_sent_s: float = -math.inf
--- a/src/guavapulley/consensus/_log.py
+++ b/src/guavapulley/consensus/_log.py
@@ -1,5 +1,6 @@
 """The part of the log that is kept in memory."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import itertools
@@ -23,6 +24,7 @@
         base_index: Index of the entry before the first one in memory.
         base_term: Term of the entry at `base_index`.
         entries: Entries in memory.
+        payload_bytes: Payload bytes of the entries in memory.
         replica_sets: Pairs of log index and replica set, oldest first. The
             first one is the set in effect at `base_index`.
     """
@@ -32,6 +34,7 @@
     base_index: int = 0
     base_term: int = 0
     entries: list[model.LogEntry] = attrs.field(factory=list)
+    payload_bytes: int = 0
     replica_sets: list[tuple[int, model.ReplicaSet]] = attrs.field(
         factory=lambda: [(0, model.ReplicaSet())]
     )
@@ -95,28 +98,42 @@
     def append(self, entries: Sequence[model.LogEntry]) -> None:
         """Appends entries, which must follow the last entry of the log."""
         self.entries.extend(entries)
+        self.payload_bytes += total_payload_bytes(entries)
         self.replica_sets.extend(self._replica_sets_in(entries))
 
     def truncate_from(self, index: int) -> None:
         """Removes the entry at an index and all later ones."""
-        del self.entries[index - self.base_index - 1 :]
+        position = index - self.base_index - 1
+        self.payload_bytes -= total_payload_bytes(self.entries[position:])
+        del self.entries[position:]
         while self.replica_sets[-1][0] >= index:
             self.replica_sets.pop()
 
-    def compact(self, snapshot: model.Snapshot, trailing_entries: int) -> None:
+    def compact(
+        self,
+        snapshot: model.Snapshot,
+        trailing_entries: int,
+        trailing_bytes: int,
+    ) -> None:
         """Adopts a snapshot of applied entries and drops old entries.
 
         Args:
             snapshot: The snapshot, whose index must be in memory.
-            trailing_entries: Number of entries that the snapshot covers and
-                that are kept nevertheless.
+            trailing_entries: Maximum number of entries that the snapshot
+                covers and that are kept nevertheless.
+            trailing_bytes: Maximum payload bytes of these entries.
         """
         self.snapshot = snapshot
-        base = max(self.base_index, snapshot.index - trailing_entries)
+        covered = self.entries[: snapshot.index - self.base_index]
+        base = snapshot.index - _count_trailing(
+            covered, trailing_entries, trailing_bytes
+        )
         term = self.term_at(base)
         assert term is not None
         base_replicas = self.replicas_at(base)
-        del self.entries[: base - self.base_index]
+        dropped = base - self.base_index
+        self.payload_bytes -= total_payload_bytes(self.entries[:dropped])
+        del self.entries[:dropped]
         self.base_index, self.base_term = base, term
         later = [item for item in self.replica_sets if item[0] > base]
         self.replica_sets = [(base, base_replicas), *later]
@@ -133,6 +150,7 @@
         self.snapshot = snapshot
         self.base_index, self.base_term = snapshot.index, snapshot.term
         self.entries = []
+        self.payload_bytes = 0
         self.replica_sets = [(snapshot.index, snapshot.replicas)]
         self.append(retained)
 
@@ -146,6 +164,20 @@
                 yield entry.index, replicas
 
 
+def total_payload_bytes(entries: Iterable[model.LogEntry]) -> int:
+    """Returns the payload bytes of entries."""
+    return sum(len(entry.payload) for entry in entries)
+
+
+def _count_trailing(
+    entries: Sequence[model.LogEntry], max_entries: int, max_bytes: int
+) -> int:
+    """Returns how many of the last entries are within both limits."""
+    newest_first = itertools.islice(reversed(entries), max_entries)
+    sizes = itertools.accumulate(len(entry.payload) for entry in newest_first)
+    return sum(1 for size in sizes if size <= max_bytes)
+
+
 def _limit_payload_bytes(
     entries: Iterator[model.LogEntry], max_bytes: int
 ) -> Iterator[model.LogEntry]:
--- a/src/guavapulley/consensus/_replica.py
+++ b/src/guavapulley/consensus/_replica.py
@@ -229,7 +229,7 @@
         return proposal.result
 
     def _check_limits(self, payload: bytes) -> None:
-        """Checks the size of a command and the number of uncommitted entries.
+        """Checks the size of a command and that of the log.
 
         Raises:
             ConsensusError: A limit is exceeded; the command is not appended.
@@ -247,6 +247,12 @@
                 f"{uncommitted} entries already wait for a quorum",
                 appended=False,
             )
+        if self.state.log.payload_bytes >= settings.max_log_bytes:
+            raise _errors.NoQuorumError(
+                f"{self.state.log.payload_bytes} bytes of commands wait for a"
+                " quorum, a sync or a snapshot",
+                appended=False,
+            )
 
     async def read_index(self, timeout_s: float) -> int:
         """Returns an applied index that covers every entry committed before.
--- a/src/guavapulley/consensus/_replication.py
+++ b/src/guavapulley/consensus/_replication.py
@@ -5,6 +5,7 @@
 from guavapulley import model
 from guavapulley import ports
 from guavapulley.consensus import _leader_term
+from guavapulley.consensus import _log
 from guavapulley.consensus import _state
 
 
@@ -85,6 +86,7 @@
             progress.pipelining
             and not progress.sending_snapshot
             and progress.in_flight < self.settings.max_calls_in_flight
+            and progress.bytes_in_flight < self.settings.max_bytes_in_flight
             and progress.next_index <= self.state.log.last_index
         )
 
@@ -143,6 +145,7 @@
         self.progress.sent_round = self.leader_term.newest_round
         self.progress.probe_requested = False
         self.progress.in_flight += bool(entries)
+        self.progress.bytes_in_flight += _log.total_payload_bytes(entries)
         return model.AppendEntries(
             state.cluster_id,
             self.leader_term.term,
@@ -167,6 +170,9 @@
             return
         finally:
             progress.in_flight -= bool(message.entries)
+            progress.bytes_in_flight -= _log.total_payload_bytes(
+                message.entries
+            )
             self.leader_term.work_available.notify()
         if not isinstance(reply, model.AppendEntriesReply):
             progress.start_probing(progress.match_index + 1)
--- a/src/guavapulley/consensus/_settings.py
+++ b/src/guavapulley/consensus/_settings.py
@@ -48,15 +48,22 @@
         max_calls_in_flight: Maximum number of unanswered calls with entries to
             a peer. At one call per batch interval it is enough for a whole
             round trip.
+        max_bytes_in_flight: Payload bytes in unanswered calls at which no
+            further entries are sent to a peer. A message holds at least one
+            entry, so that the limit may be exceeded by one batch.
         max_command_bytes: Maximum size of a command.
         max_uncommitted_entries: Number of uncommitted entries at which a
             leader rejects further commands.
+        max_log_bytes: Payload bytes in memory at which a leader rejects
+            further commands. Only a log that cannot be committed, synced or
+            compacted reaches it.
         snapshot_entries: Applied entries after which a snapshot is made.
         snapshot_bytes: Applied payload bytes after which a snapshot is made.
         snapshot_chunk_bytes: Maximum bytes of a snapshot in one message.
-        trailing_entries: Number of entries that stay in memory although a
-            snapshot covers them, so that a follower that lags slightly does
-            not need the snapshot.
+        trailing_entries: Maximum number of entries that stay in memory
+            although a snapshot covers them, so that a follower that lags
+            slightly does not need the snapshot.
+        trailing_bytes: Maximum payload bytes of these entries.
         catch_up_entries: Maximum lag of a learner that counts as caught up.
         max_voters: Target number of voters. Further replicas stay learners
             until a voter stops answering. None makes every replica a voter.
@@ -84,12 +91,15 @@
     max_batch_bytes: int = MIB
     batch_interval_s: float = 0.005
     max_calls_in_flight: int = 32
+    max_bytes_in_flight: int = 4 * MIB
     max_command_bytes: int = 2 * MIB
     max_uncommitted_entries: int = 4096
+    max_log_bytes: int = 48 * MIB
     snapshot_entries: int = 10_000
     snapshot_bytes: int = 16 * MIB
     snapshot_chunk_bytes: int = 512 * KIB
     trailing_entries: int = 500
+    trailing_bytes: int = 2 * MIB
     catch_up_entries: int = 16
     max_voters: int | None = None
     replace_silence_s: float = 2.0
--- a/src/guavapulley/fleet/_machine.py
+++ b/src/guavapulley/fleet/_machine.py
@@ -10,9 +10,11 @@
 from guavapulley import ports
 from guavapulley.fleet import _validation
 
-# Commands kept for watchers; a watcher that is further behind gets the whole
-# state.
+# Limits of the commands kept for watchers; a watcher that is further behind
+# gets the whole state. A decoded command occupies several times its encoded
+# size.
 MAX_RECENT_COMMANDS = 1_000
+MAX_RECENT_BYTES = 1_048_576
 # Accepted routing changes that are acknowledged again when resent.
 MAX_ACCEPTED_CHANGES = 10_000
 # Departed upstreams that are kept so that a late renewal does not record them
@@ -49,6 +51,21 @@
 CODEC_TYPES: tuple[type, ...] = (FleetSnapshot,)
 
 
+@attrs.frozen
+class _RecentCommand:
+    """A command that is kept for watchers.
+
+    Attributes:
+        index: Log index.
+        size_bytes: Encoded size.
+        command: The command.
+    """
+
+    index: int
+    size_bytes: int
+    command: model.FleetCommand
+
+
 class FleetStateMachine:
     """Validates and applies fleet commands (`ports.StateMachine`).
 
@@ -63,8 +80,9 @@
             first.
         departed: Incarnations of departed upstreams by name, oldest departure
             first.
-        recent_commands: Log indexes and commands of the newest commands that
-            changed the state, oldest first.
+        recent_commands: The newest commands that changed the state, oldest
+            first.
+        recent_bytes: Encoded size of `recent_commands`.
         last_dropped_index: Log index up to which commands may be missing from
             `recent_commands`.
     """
@@ -78,9 +96,10 @@
         self.departed: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self.recent_commands: collections.deque[
-            tuple[int, model.FleetCommand]
-        ] = collections.deque()
+        self.recent_commands: collections.deque[_RecentCommand] = (
+            collections.deque()
+        )
+        self.recent_bytes = 0
         self.last_dropped_index = 0
 
     def apply(self, index: int, payload: bytes) -> object:
@@ -108,17 +127,23 @@
             self._record_departure(command)
         if refusal is None and self._is_effective(command):
             self.state = model.apply_fleet_command(self.state, command)
-            self._append_recent(index, command)
+            self._append_recent(_RecentCommand(index, len(payload), command))
         self.state = attrs.evolve(self.state, index=index)
         version = self.state.routing.version
         if refusal is not None:
             return attrs.evolve(refusal, version=version)
         return model.FleetVerdict(accepted=True, version=version)
 
-    def _append_recent(self, index: int, command: model.FleetCommand) -> None:
-        self.recent_commands.append((index, command))
-        if len(self.recent_commands) > MAX_RECENT_COMMANDS:
-            self.last_dropped_index, _ = self.recent_commands.popleft()
+    def _append_recent(self, recent: _RecentCommand) -> None:
+        self.recent_commands.append(recent)
+        self.recent_bytes += recent.size_bytes
+        while (
+            len(self.recent_commands) > MAX_RECENT_COMMANDS
+            or self.recent_bytes > MAX_RECENT_BYTES
+        ):
+            dropped = self.recent_commands.popleft()
+            self.recent_bytes -= dropped.size_bytes
+            self.last_dropped_index = dropped.index
 
     def changes_after(
         self, index: int
@@ -132,9 +157,9 @@
         if not self.last_dropped_index <= index <= self.state.index:
             return None
         return tuple(
-            command
-            for command_index, command in self.recent_commands
-            if command_index > index
+            recent.command
+            for recent in self.recent_commands
+            if recent.index > index
         )
 
     def _find_refusal(
@@ -263,4 +288,5 @@
         self.accepted = collections.OrderedDict(stored.accepted)
         self.departed = collections.OrderedDict(stored.departed)
         self.recent_commands.clear()
+        self.recent_bytes = 0
         self.last_dropped_index = stored.state.index
--- a/src/guavapulley/nodes/core/_node.py
+++ b/src/guavapulley/nodes/core/_node.py
@@ -100,6 +100,7 @@
         status = self.replica.status()
         state = self.service.machine.state
         return {
+            "log_bytes.memory": self.replica.state.log.payload_bytes,
             "log_index.last": status.last_index,
             "log_index.committed": status.commit_index,
             "log_index.applied": status.applied_index,
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -4,6 +4,8 @@
 are recorded again.
 """
 
+import tracemalloc
+
 import pytest
 
 from guavapulley import fleet
@@ -160,3 +162,30 @@
         model.RecordUpstream(conftest.upstream(incarnation=200, sequence=3))
     )
     assert log.machine.upstream("u1") is None
+
+
+def test_recent_large_changes_do_not_accumulate(log):
+    """Each replica exceeded its memory limit after 40 large replacements."""
+
+    def replacement(version):
+        routes = tuple(
+            conftest.route(f"r{number}", path_prefix=f"/{number}/{version}/")
+            for number in range(1_000)
+        )
+        return conftest.change(version, version - 1, routes=routes)
+
+    def traced_bytes(versions):
+        for version in versions:
+            assert log.apply(replacement(version)).accepted
+        return tracemalloc.get_traced_memory()[0]
+
+    tracemalloc.start()
+    try:
+        few = traced_bytes(range(1, 11))
+        many = traced_bytes(range(11, 31))
+    finally:
+        tracemalloc.stop()
+    # One table more than before, for the allocator's sake.
+    assert many - few < few / 10
+    assert log.machine.changes_after(1) is None
+    assert len(log.machine.changes_after(29)) == 1
