--- a/src/guavapulley/adapters/stream/_client.py
+++ b/src/guavapulley/adapters/stream/_client.py
@@ -1,6 +1,7 @@
 """Calls to a peer over one TCP connection."""
 
 import itertools
+import struct
 
 import attrs
 import trio
@@ -13,6 +14,9 @@
 # Several round trips between regions. A machine without power never answers,
 # and a lost SYN packet is retransmitted only after one second.
 CONNECT_TIMEOUT_S = 0.5
+# `struct linger` with a timeout of 0 s: a close discards the bytes that the
+# peer has not received, and resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen
@@ -106,6 +110,18 @@
                 if not complete:
                     self.close()
 
+    def reset(self) -> None:
+        """Closes the connection and discards the bytes that it holds.
+
+        A partition would otherwise deliver messages that no caller waits for
+        any more once it has ended.
+        """
+        if not self.closed:
+            self.stream.setsockopt(
+                trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.close()
+
     def close(self) -> None:
         """Closes the connection and ends the pending calls without reply."""
         self.closed = True
@@ -232,7 +248,7 @@
     def _close_if_silent(self, since_s: float) -> None:
         connection = self.connection
         if connection is not None and connection.last_contact_s < since_s:
-            connection.close()
+            connection.reset()
 
     def _decode(self, reply: bytes) -> model.PeerMessage:
         try:
--- a/src/guavapulley/fleet/_liveness.py
+++ b/src/guavapulley/fleet/_liveness.py
@@ -31,12 +31,14 @@
     events: ports.EventLog
     clients: ports.PeerClientPool
 
-    async def propose(self, command: model.FleetCommand) -> model.FleetVerdict:
-        """Proposes a command to the leader and returns its verdict.
+    async def propose_as_leader(
+        self, command: model.FleetCommand
+    ) -> model.FleetVerdict:
+        """Proposes a command that only the current leader may decide on.
 
         Raises:
-            ConsensusError: No leader, or not committed in time.
-            PeerError: The leader did not answer.
+            ConsensusError: This replica does not lead, or the command was not
+                committed in time.
         """
 
 
@@ -138,8 +140,10 @@
                 "fleet:expires", name=_removed_name(command)
             )
             try:
-                await self.service.propose(command)
-            except (consensus.ConsensusError, ports.PeerError) as error:
+                # A new leader must not apply this removal: it may know of a
+                # later contact.
+                await self.service.propose_as_leader(command)
+            except consensus.ConsensusError as error:
                 self.service.events.write(
                     "fleet:expiry_failed", code=error.code
                 )
--- a/src/guavapulley/fleet/_machine.py
+++ b/src/guavapulley/fleet/_machine.py
@@ -20,6 +20,8 @@
 # Departed upstreams that are kept so that a late renewal does not record them
 # again.
 MAX_DEPARTED_UPSTREAMS = 10_000
+# Entries and failure domains whose last change is known.
+MAX_CHANGE_INDEXES = 10_000
 
 COMMAND_NOT_FLEET = errors.register_code(
     "COMMAND_NOT_FLEET", "The log holds a command that is not a fleet command."
@@ -40,11 +42,17 @@
             first.
         departed: Incarnations of departed upstreams by name, oldest departure
             first.
+        node_indexes: Log indexes of the last changes of entries by name, oldest
+            change first.
+        evacuation_indexes: Log indexes of the last accepted evacuation commands
+            by failure domain, oldest command first.
     """
 
     state: model.FleetState
     accepted: dict[str, int]
     departed: dict[str, int]
+    node_indexes: dict[str, int] = attrs.field(factory=dict)
+    evacuation_indexes: dict[str, int] = attrs.field(factory=dict)
 
 
 # Types that the codec must support in addition to those of the model.
@@ -80,6 +88,12 @@
             first.
         departed: Incarnations of departed upstreams by name, oldest departure
             first.
+        node_indexes: Log indexes of the last changes of entries by name, oldest
+            change first.
+        evacuation_indexes: Log indexes of the last accepted evacuation commands
+            by failure domain, oldest command first. Commands without effect
+            count as well: an order that was acknowledged must not be undone by
+            an older one.
         recent_commands: The newest commands that changed the state, oldest
             first.
         recent_bytes: Encoded size of `recent_commands`.
@@ -96,6 +110,12 @@
         self.departed: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self.node_indexes: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.evacuation_indexes: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self.recent_commands: collections.deque[_RecentCommand] = (
             collections.deque()
         )
@@ -125,9 +145,13 @@
         refusal = self._find_refusal(command)
         if isinstance(command, model.RemoveUpstream) and command.final:
             self._record_departure(command)
-        if refusal is None and self._is_effective(command):
-            self.state = model.apply_fleet_command(self.state, command)
-            self._append_recent(_RecentCommand(index, len(payload), command))
+        if refusal is None:
+            if self._is_effective(command):
+                self.state = model.apply_fleet_command(self.state, command)
+                self._append_recent(
+                    _RecentCommand(index, len(payload), command)
+                )
+            self._record_change_index(index, command)
         self.state = attrs.evolve(self.state, index=index)
         version = self.state.routing.version
         if refusal is not None:
@@ -145,6 +169,21 @@
             self.recent_bytes -= dropped.size_bytes
             self.last_dropped_index = dropped.index
 
+    def _record_change_index(
+        self, index: int, command: model.FleetCommand
+    ) -> None:
+        match command:
+            case model.SetEvacuation(domain):
+                _set_newest(
+                    self.evacuation_indexes, domain, index, MAX_CHANGE_INDEXES
+                )
+            case model.RecordNode(node):
+                _set_newest(
+                    self.node_indexes, node.name, index, MAX_CHANGE_INDEXES
+                )
+            case model.RemoveNode(name):
+                _set_newest(self.node_indexes, name, index, MAX_CHANGE_INDEXES)
+
     def changes_after(
         self, index: int
     ) -> tuple[model.FleetCommand, ...] | None:
@@ -169,9 +208,21 @@
 
         The version of the verdict is not set.
         """
-        if not isinstance(command, model.ChangeRouting):
-            return None
-        change, current = command.change, self.state.routing
+        match command:
+            case model.ChangeRouting(change):
+                return self._find_routing_refusal(change)
+            case model.SetEvacuation(domain, base_index=base_index):
+                changed_index = self.evacuation_indexes.get(domain, 0)
+                return _refuse_if_outdated(base_index, changed_index)
+            case model.RecordNode(node, base_index):
+                changed_index = self.node_indexes.get(node.name, 0)
+                return _refuse_if_outdated(base_index, changed_index)
+        return None
+
+    def _find_routing_refusal(
+        self, change: model.RoutingChange
+    ) -> model.FleetVerdict | None:
+        current = self.state.routing
         if change.content_hash in self.accepted:
             return None
         if change.base_version != current.version:
@@ -203,9 +254,12 @@
             case model.ChangeRouting(change):
                 if change.content_hash in self.accepted:
                     return False
-                self.accepted[change.content_hash] = change.version
-                if len(self.accepted) > MAX_ACCEPTED_CHANGES:
-                    self.accepted.popitem(last=False)
+                _set_newest(
+                    self.accepted,
+                    change.content_hash,
+                    change.version,
+                    MAX_ACCEPTED_CHANGES,
+                )
                 return True
             case model.RecordUpstream(record):
                 return self._is_newer_record(record)
@@ -259,11 +313,8 @@
             incarnation = existing.incarnation
         if incarnation is None:
             return
-        self.departed[name] = max(
-            incarnation, self.departed.pop(name, incarnation)
-        )
-        while len(self.departed) > MAX_DEPARTED_UPSTREAMS:
-            self.departed.popitem(last=False)
+        newest = max(incarnation, self.departed.get(name, incarnation))
+        _set_newest(self.departed, name, newest, MAX_DEPARTED_UPSTREAMS)
 
     def upstream(self, name: str) -> model.UpstreamRecord | None:
         """Returns the record of an upstream, or None without one."""
@@ -277,7 +328,13 @@
     def snapshot(self) -> bytes:
         """Returns the encoded `FleetSnapshot`."""
         return self.codec.encode(
-            FleetSnapshot(self.state, dict(self.accepted), dict(self.departed))
+            FleetSnapshot(
+                self.state,
+                dict(self.accepted),
+                dict(self.departed),
+                dict(self.node_indexes),
+                dict(self.evacuation_indexes),
+            )
         )
 
     def restore(self, state: bytes) -> None:
@@ -287,6 +344,37 @@
         self.state = stored.state
         self.accepted = collections.OrderedDict(stored.accepted)
         self.departed = collections.OrderedDict(stored.departed)
+        self.node_indexes = collections.OrderedDict(stored.node_indexes)
+        self.evacuation_indexes = collections.OrderedDict(
+            stored.evacuation_indexes
+        )
         self.recent_commands.clear()
         self.recent_bytes = 0
         self.last_dropped_index = stored.state.index
+
+
+def _set_newest(
+    values: collections.OrderedDict[str, int],
+    key: str,
+    value: int,
+    max_items: int,
+) -> None:
+    """Sets a value as the newest item and drops the oldest beyond a limit."""
+    values[key] = value
+    values.move_to_end(key)
+    while len(values) > max_items:
+        values.popitem(last=False)
+
+
+def _refuse_if_outdated(
+    base_index: int | None, changed_index: int
+) -> model.FleetVerdict | None:
+    """Returns a conflict if there was a change after the base index."""
+    if base_index is None or changed_index <= base_index:
+        return None
+    return model.FleetVerdict(
+        accepted=False,
+        conflict=True,
+        message=f"the command is based on log index {base_index}, but a newer"
+        f" one was applied at index {changed_index}",
+    )
--- a/src/guavapulley/fleet/_service.py
+++ b/src/guavapulley/fleet/_service.py
@@ -111,6 +111,66 @@
         )
         return result
 
+    async def propose_as_leader(
+        self, command: model.FleetCommand
+    ) -> model.FleetVerdict:
+        """Proposes a command that only the current leader may decide on.
+
+        Raises:
+            ConsensusError: This replica does not lead, too few voters have
+                joined, or the command was not committed in time.
+        """
+        return await self._propose_as_leader(model.ProposeCommand(command))
+
+    async def set_evacuation(
+        self, failure_domain: str, *, evacuated: bool
+    ) -> model.FleetVerdict:
+        """Evacuates a failure domain, or lets it receive requests again.
+
+        The command may reach the leader long after its caller has sent the
+        order again to another replica. It is therefore based on a state that
+        this replica had while the caller waited: the caller must cancel this
+        call when it no longer waits, which the read barrier allows for.
+
+        Raises:
+            ConsensusError: No quorum confirmed the order in time.
+            PeerError: The leader did not answer; the order may have taken
+                effect.
+        """
+        while True:
+            base_index = self.machine.state.index
+            await self._await_read_barrier()
+            verdict = await self.propose(
+                model.SetEvacuation(failure_domain, evacuated, base_index)
+            )
+            if not verdict.conflict:
+                return verdict
+            # Another order was applied meanwhile. This one is still waited
+            # for, so that it is the newer one.
+
+    async def remove_upstream(
+        self, command: model.RemoveUpstream
+    ) -> model.FleetVerdict:
+        """Removes an upstream that leaves.
+
+        A command for any incarnation removes the one that is known while the
+        caller waits, so that a late copy does not remove a newer one.
+
+        Raises:
+            ConsensusError: The command was not committed in time.
+            PeerError: The leader did not answer; the command may have taken
+                effect.
+        """
+        if command.incarnation is None:
+            existing = self.machine.upstream(command.upstream)
+            await self._await_read_barrier()
+            existing = existing or self.machine.upstream(command.upstream)
+            if existing is None:
+                version = self.machine.state.routing.version
+                return model.FleetVerdict(accepted=True, version=version)
+            command = attrs.evolve(command, incarnation=existing.incarnation)
+        return await self.propose(command)
+
     async def renew_upstream(self, record: model.UpstreamRecord) -> None:
         """Handles the renewal of an upstream.
 
@@ -147,14 +207,17 @@
             ConsensusError: No leader is known, no majority confirmed it in
                 time, or this replica did not catch up in time.
         """
+        await self._await_read_barrier()
+        return self.machine.state
+
+    async def _await_read_barrier(self) -> None:
         await consensus.await_read_barrier(
             self.replica, self.clients.client, READ_TIMEOUT_S
         )
-        return self.machine.state
 
     async def _watch(self, request: model.WatchFleet) -> model.FleetUpdate:
         if request.node is not None:
-            await self._record_node(request.node)
+            await self._record_node(request.node, request.after)
         with trio.move_on_after(request.wait_s):
             while self.machine.state.index <= request.after:
                 applied = self.replica.status().applied_index
@@ -170,12 +233,14 @@
             tuple(member.address for member in replicas.members),
         )
 
-    async def _record_node(self, node: model.NodeRecord) -> None:
+    async def _record_node(
+        self, node: model.NodeRecord, base_index: int
+    ) -> None:
         self.liveness.record_node(node.name)
         if node in self.machine.state.nodes:
             return
         try:
-            await self.propose(model.RecordNode(node))
+            await self.propose(model.RecordNode(node, base_index))
         except (consensus.ConsensusError, ports.PeerError) as error:
             # The next watch of the entry proposes the record again.
             self.events.write(
--- a/src/guavapulley/model/_fleet.py
+++ b/src/guavapulley/model/_fleet.py
@@ -61,9 +61,17 @@
 
 @attrs.frozen
 class RecordNode:
-    """Adds an entry that has started, or replaces its record."""
+    """Adds an entry that has started, or replaces its record.
+
+    Attributes:
+        node: Record of the entry.
+        base_index: Log index of the state that the entry knew when it sent the
+            record. A later change of its record rejects the command; None for
+            no check.
+    """
 
     node: NodeRecord
+    base_index: int | None = None
 
 
 @attrs.frozen
@@ -76,10 +84,19 @@
 
 @attrs.frozen
 class SetEvacuation:
-    """Evacuates a failure domain, or lets it receive requests again."""
+    """Evacuates a failure domain, or lets it receive requests again.
+
+    Attributes:
+        failure_domain: The failure domain.
+        evacuated: Whether it shall receive no requests.
+        base_index: Log index of a state that a replica had while the operator
+            waited. A later command about the failure domain rejects this one;
+            None for no check.
+    """
 
     failure_domain: str
     evacuated: bool
+    base_index: int | None = None
 
 
 @attrs.frozen
--- a/tests/adapters/stream/test_stream.py
+++ b/tests/adapters/stream/test_stream.py
@@ -136,3 +136,28 @@
     assert recorder.events == ["peer:lost", "peer:regained"]
     assert recorder.counts["sent"] > 0
     assert recorder.counts["received"] > 0
+
+
+async def test_a_connection_to_a_silent_peer_is_reset(nursery):
+    """A partition delivered requests after their callers had given up.
+
+    The reset discards what the connection holds; an orderly close delivers it.
+    """
+    listener = trio.socket.socket()
+    await listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    address = model.NodeAddress(*listener.getsockname())
+    client = stream.StreamDialer(MESSAGES, nursery).dial(address)
+
+    async def call_in_vain():
+        for _ in range(2):
+            with pytest.raises(ports.PeerError):
+                await client.call(model.GetStatus(), 0.2)
+
+    nursery.start_soon(call_in_vain)
+    with trio.fail_after(5), listener:
+        accepted, _ = await listener.accept()
+        with accepted, pytest.raises(ConnectionResetError):
+            while await accepted.recv(1_000):
+                pass
+    nursery.cancel_scope.cancel()
--- a/tests/fleet/test_liveness.py
+++ b/tests/fleet/test_liveness.py
@@ -31,7 +31,7 @@
     def machine(self):
         return self
 
-    async def propose(self, command):
+    async def propose_as_leader(self, command):
         self.removed.append(command)
 
 
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -6,6 +6,7 @@
 
 import tracemalloc
 
+import attrs
 import pytest
 
 from guavapulley import fleet
@@ -189,3 +190,39 @@
     assert many - few < few / 10
     assert log.machine.changes_after(1) is None
     assert len(log.machine.changes_after(29)) == 1
+
+
+NODE = model.NodeRecord(
+    "edge-1", "bkk", "bkk-a", model.NodeAddress("10.0.0.9", 80), "a"
+)
+
+
+def test_a_late_record_does_not_replace_a_newer_one(log):
+    """Lookups named an entry that was stopping or had already ended."""
+    stopping = attrs.evolve(NODE, accepting=False)
+    assert log.apply(model.RecordNode(NODE, 0)).accepted
+    assert log.apply(model.RecordNode(stopping, 1)).accepted
+    assert log.apply(model.RecordNode(NODE, 1)).conflict
+    assert log.machine.state.nodes == (stopping,)
+    log.apply(model.RemoveNode("edge-1", "a"))
+    assert log.apply(model.RecordNode(stopping, 3)).conflict
+    assert log.machine.state.nodes == ()
+    assert log.apply(model.RecordNode(NODE, 4)).accepted
+    assert log.machine.state.nodes == (NODE,)
+
+
+def test_a_snapshot_keeps_the_indexes_that_reject_late_commands(log):
+    log.apply(model.RecordNode(NODE, 0))
+    log.apply(model.SetEvacuation("bkk-a", True, 1))
+    copy = fleet.FleetStateMachine(conftest.CODEC)
+    copy.restore(log.machine.snapshot())
+    log.machine = copy
+    assert log.apply(model.RecordNode(NODE, 0)).conflict
+    assert log.apply(model.SetEvacuation("bkk-a", False, 1)).conflict
+    assert log.apply(model.SetEvacuation("bkk-a", False, 2)).accepted
+
+
+def test_stored_commands_without_a_base_index_are_applied(log):
+    log.apply(model.SetEvacuation("bkk-a", True))
+    assert log.apply(model.SetEvacuation("bkk-a", False)).accepted
+    assert log.machine.state.evacuated == ()
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -4,102 +4,23 @@
 have gone, or that are removed while they are up.
 """
 
-import random
-
 import attrs
 import pytest
 import trio
 
 from guavapulley import consensus
-from guavapulley import fleet
 from guavapulley import model
-from guavapulley import ports
-from guavapulley.adapters import memory
 from tests.fleet import conftest
+from tests.fleet import control_cluster
 
-DELAY_S = 0.02
 NODE = model.NodeRecord(
     "edge-1", "bkk", "bkk-a", model.NodeAddress("10.0.0.9", 80), "a"
 )
 
 
-@attrs.define
-class Node:
-    """A control replica and the cancel scope of its tasks."""
-
-    address: model.NodeAddress
-    service: fleet.FleetService
-    scope: trio.CancelScope | None = None
-
-
-class ControlCluster:
-    """Three control replicas on an in-memory network and a mock clock."""
-
-    def __init__(self, nursery):
-        self.nursery, self.rng = nursery, random.Random(7)
-        self.network = memory.MemoryNetwork(lambda a, b: DELAY_S)
-        self.addresses = [model.NodeAddress("m", port) for port in (1, 2, 3)]
-        self.nodes = [self._node(address) for address in self.addresses]
-
-    def _node(self, address):
-        machine = fleet.FleetStateMachine(conftest.CODEC)
-        dialer = self.network.dialer(address)
-        replica = consensus.Replica(
-            f"c{address.port}",
-            address,
-            self.addresses,
-            memory.MemoryStore(memory.MemoryDisk(), self.rng, 0.002),
-            dialer,
-            conftest.CODEC,
-            machine,
-            ports.NullEventLog(),
-            ports.NullMetrics(),
-            self.rng,
-            consensus.ConsensusSettings(max_voters=3, join_interval_s=0.2),
-        )
-        service = fleet.FleetService(
-            replica, machine, conftest.CODEC, dialer, ports.NullEventLog(), 3
-        )
-        return Node(address, service)
-
-    async def start(self):
-        await self.nursery.start(self.network.run)
-        for node in self.nodes:
-            await self.nursery.start(self._run, node)
-        await self.nodes[0].service.replica.create_cluster(
-            peers_may_be_down=True
-        )
-
-    async def _run(self, node, task_status):
-        with trio.CancelScope() as node.scope:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(node.service.replica.run)
-                await nursery.start(
-                    self.network.serve, node.address, node.service
-                )
-                nursery.start_soon(node.service.run)
-                task_status.started()
-                await trio.sleep_forever()
-
-    async def retry_until_true(self, attempt, timeout_s=20):
-        with trio.fail_after(timeout_s):
-            while True:
-                try:
-                    if await attempt():
-                        return
-                except (consensus.ConsensusError, ports.PeerError):
-                    pass
-                await trio.sleep(0.05)
-
-    def leader(self):
-        return next(
-            n for n in self.nodes if n.service.replica.leadership().is_leader
-        )
-
-
 @pytest.fixture
 async def cluster(autojump_clock, nursery):
-    cluster = ControlCluster(nursery)
+    cluster = control_cluster.ControlCluster(nursery)
     await cluster.start()
 
     async def accepts():
@@ -114,7 +35,7 @@
 async def test_nothing_is_accepted_before_all_voters_have_joined(
     autojump_clock, nursery
 ):
-    cluster = ControlCluster(nursery)
+    cluster = control_cluster.ControlCluster(nursery)
     await nursery.start(cluster.network.run)
     await nursery.start(cluster._run, cluster.nodes[0])
     first = cluster.nodes[0].service
