--- a/src/guavapulley/fleet/_machine.py
+++ b/src/guavapulley/fleet/_machine.py
@@ -8,13 +8,9 @@
 from guavapulley import errors
 from guavapulley import model
 from guavapulley import ports
+from guavapulley.fleet import _recent
 from guavapulley.fleet import _validation
 
-# Limits of the commands kept for watchers; a watcher that is further behind
-# gets the whole state. A decoded command occupies several times its encoded
-# size.
-MAX_RECENT_COMMANDS = 1_000
-MAX_RECENT_BYTES = 1_048_576
 # Accepted routing changes that are acknowledged again when resent.
 MAX_ACCEPTED_CHANGES = 10_000
 # Departed upstreams that are kept so that a late renewal does not record them
@@ -59,21 +55,6 @@
 CODEC_TYPES: tuple[type, ...] = (FleetSnapshot,)
 
 
-@attrs.frozen
-class _RecentCommand:
-    """A command that is kept for watchers.
-
-    Attributes:
-        index: Log index.
-        size_bytes: Encoded size.
-        command: The command.
-    """
-
-    index: int
-    size_bytes: int
-    command: model.FleetCommand
-
-
 class FleetStateMachine:
     """Validates and applies fleet commands (`ports.StateMachine`).
 
@@ -94,11 +75,7 @@
             by failure domain, oldest command first. Commands without effect
             count as well: an order that was acknowledged must not be undone by
             an older one.
-        recent_commands: The newest commands that changed the state, oldest
-            first.
-        recent_bytes: Encoded size of `recent_commands`.
-        last_dropped_index: Log index up to which commands may be missing from
-            `recent_commands`.
+        recent: The newest commands that changed the state.
     """
 
     def __init__(self, codec: ports.Codec) -> None:
@@ -116,11 +93,7 @@
         self.evacuation_indexes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self.recent_commands: collections.deque[_RecentCommand] = (
-            collections.deque()
-        )
-        self.recent_bytes = 0
-        self.last_dropped_index = 0
+        self.recent = _recent.RecentCommands()
 
     def apply(self, index: int, payload: bytes) -> object:
         """Applies a committed command.
@@ -148,9 +121,7 @@
         if refusal is None:
             if self._is_effective(command):
                 self.state = model.apply_fleet_command(self.state, command)
-                self._append_recent(
-                    _RecentCommand(index, len(payload), command)
-                )
+                self.recent.append(index, len(payload), command)
             self._record_change_index(index, command)
         self.state = attrs.evolve(self.state, index=index)
         version = self.state.routing.version
@@ -158,17 +129,6 @@
             return attrs.evolve(refusal, version=version)
         return model.FleetVerdict(accepted=True, version=version)
 
-    def _append_recent(self, recent: _RecentCommand) -> None:
-        self.recent_commands.append(recent)
-        self.recent_bytes += recent.size_bytes
-        while (
-            len(self.recent_commands) > MAX_RECENT_COMMANDS
-            or self.recent_bytes > MAX_RECENT_BYTES
-        ):
-            dropped = self.recent_commands.popleft()
-            self.recent_bytes -= dropped.size_bytes
-            self.last_dropped_index = dropped.index
-
     def _record_change_index(
         self, index: int, command: model.FleetCommand
     ) -> None:
@@ -193,13 +153,7 @@
             The commands in log order, or None when some of them may have been
             dropped or the index is newer than the state.
         """
-        if not self.last_dropped_index <= index <= self.state.index:
-            return None
-        return tuple(
-            recent.command
-            for recent in self.recent_commands
-            if recent.index > index
-        )
+        return self.recent.after(index) if index <= self.state.index else None
 
     def _find_refusal(
         self, command: model.FleetCommand
@@ -348,9 +302,7 @@
         self.evacuation_indexes = collections.OrderedDict(
             stored.evacuation_indexes
         )
-        self.recent_commands.clear()
-        self.recent_bytes = 0
-        self.last_dropped_index = stored.state.index
+        self.recent = _recent.RecentCommands(stored.state.index)
 
 
 def _set_newest(
--- a/src/guavapulley/forwarding/_fleet_watcher.py
+++ b/src/guavapulley/forwarding/_fleet_watcher.py
@@ -124,12 +124,7 @@
                     request, WATCH_TIMEOUT_S
                 )
             except ports.PeerError as error:
-                self.events.write(
-                    "fleet:replica_lost",
-                    replica=str(replica),
-                    code=error.code,
-                    reason=error.message,
-                )
+                self._log_lost(replica, error)
                 return False
         if self.watch_scope.cancelled_caught:
             return True
@@ -145,16 +140,21 @@
         try:
             self._apply_update(reply)
         except errors.GuavapulleyError as error:
-            self.events.write(
-                "fleet:replica_lost",
-                replica=str(replica),
-                code=error.code,
-                reason=error.message,
-            )
+            self._log_lost(replica, error)
             return False
         self.confirmed_s = sent_s - reply.quorum_age_s
         return True
 
+    def _log_lost(
+        self, replica: model.NodeAddress, error: errors.GuavapulleyError
+    ) -> None:
+        self.events.write(
+            "fleet:replica_lost",
+            replica=str(replica),
+            code=error.code,
+            reason=error.message,
+        )
+
     def _apply_update(self, update: model.FleetUpdate) -> None:
         self.replicas = update.replicas
         if update.index <= self.state.index:
--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -105,11 +105,13 @@
                 self.idle = trio.Event()
 
     async def drain(self, schedule: _stop.StopSchedule) -> None:
-        """Ends the begin of requests that cannot end in time.
+        """Stops beginning requests that cannot end in time.
 
-        Returns:
-            Once requests are begun only if they end in time. Those that wait
-            for an upstream and do not have been refused.
+        Returns when the schedule begins only those that can. Waiting requests
+        that cannot have been refused then.
+
+        Args:
+            schedule: Schedule of the planned stop.
         """
         self.placer.stop_schedule = schedule
         await trio.sleep_until(schedule.open_until_s)
--- a/tests/fleet/control_cluster.py
+++ b/tests/fleet/control_cluster.py
@@ -81,6 +81,16 @@
             peers_may_be_down=True
         )
 
+    async def start_accepting(self):
+        """Starts the replicas and records an upstream."""
+        await self.start()
+
+        async def accepts():
+            await self.nodes[2].service.renew_upstream(conftest.upstream())
+            return True
+
+        await self.retry_until_true(accepts)
+
     async def _run(self, node, task_status):
         with trio.CancelScope() as node.scope:
             async with trio.open_nursery() as nursery:
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -21,13 +21,7 @@
 @pytest.fixture
 async def cluster(autojump_clock, nursery):
     cluster = control_cluster.ControlCluster(nursery)
-    await cluster.start()
-
-    async def accepts():
-        await cluster.nodes[2].service.renew_upstream(conftest.upstream())
-        return True
-
-    await cluster.retry_until_true(accepts)
+    await cluster.start_accepting()
     yield cluster
     nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_late_orders.py
+++ b/tests/platform/test_late_orders.py
@@ -36,13 +36,7 @@
     cluster = control_cluster.ControlCluster(
         nursery, control_cluster.HoldingNetwork()
     )
-    await cluster.start()
-
-    async def accepts():
-        await cluster.nodes[2].service.renew_upstream(conftest.upstream())
-        return True
-
-    await cluster.retry_until_true(accepts)
+    await cluster.start_accepting()
     yield cluster
     nursery.cancel_scope.cancel()
 
