--- a/src/guavapulley/nodes/_edge.py
+++ b/src/guavapulley/nodes/_edge.py
@@ -16,9 +16,10 @@
 # Fraction of the stop timeout during which connections are kept open, so that
 # callers with an earlier lookup can switch to another entry.
 SERVING_FRACTION = 0.5
-# Time during which requests are begun that may need longer than the stop. The
-# platform expects an answer to all that are sent later.
-MAX_OPEN_S = 3.0
+# Time during which requests are begun that may need longer than the stop. All
+# that callers send 3 s after the signal must be answered, and a busy machine
+# handles the signal late.
+MAX_OPEN_S = 2.5
 # Time at the end of the stop timeout that is kept free for a busy machine.
 STOP_MARGIN_S = 0.4
 FINAL_ANSWERS_DELAY_S = 0.05
