--- a/tests/adapters/http1/test_client.py
+++ b/tests/adapters/http1/test_client.py
@@ -111,6 +111,46 @@
     assert len(connections) == 2
 
 
+LATE_REFUSAL = (
+    b"HTTP/1.1 503 Full\r\nId: 6\r\n"
+    b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "refusal", [LATE_REFUSAL, LATE_REFUSAL.replace(b"Id: 6\r\n", b"")]
+)
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+@pytest.mark.parametrize("answered", [True, False])
+async def test_a_copy_of_an_earlier_refusal_is_not_the_answer(
+    scripted_upstream, client, refusal, delay_s, answered
+):
+    """Callers were told that a request had not run while it was running."""
+    connections = []
+
+    async def script(stream):
+        connections.append(stream)
+        await receive_head(stream)
+        await stream.send_all(ANSWER)
+        await receive_head(stream)
+        await stream.send_all(refusal)
+        await trio.sleep(delay_s)
+        if answered:
+            await stream.send_all(ANSWER)
+        await stream.aclose()
+
+    upstream = await scripted_upstream(script)
+    await client.exchange(upstream, REQUEST, reuse_connection=True)
+    if answered:
+        second = await client.exchange(upstream, REQUEST, reuse_connection=True)
+        assert (second.head.status, second.body) == (200, b"mine")
+    else:
+        with pytest.raises(ports.UpstreamError) as raised:
+            await client.exchange(upstream, REQUEST, reuse_connection=True)
+        assert not raised.value.not_run
+    assert len(connections) == 1
+
+
 async def test_cancellation_closes_the_connection(scripted_upstream, client):
     closed = trio.Event()
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Guards against an entry that runs out of memory by endless answers."""
 
 import contextlib
+import functools
 import itertools
 import pathlib
 
@@ -22,13 +23,17 @@
 PART_INTERVAL_S = UPSTREAMS * len(PART) / LINK_BYTES_PER_S
 
 
-async def send_endless_body(stream):
-    """Answers a request with a body that never ends."""
+# What follows the request ID in an answer whose body or head never ends.
+ENDLESS_STARTS = {"body": "\r\n\r\n", "head": "\r\nX: "}
+
+
+async def send_endless_answer(start, stream):
+    """Answers a request with bytes that never end."""
     with contextlib.suppress(trio.BrokenResourceError):
         headers = await deployment.receive_headers(stream)
         if headers is None:
             return
-        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {headers['request-id']}\r\n\r\n"
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {headers['request-id']}{start}"
         await stream.send_all(head.encode())
         while True:
             await stream.send_all(PART)
@@ -76,11 +81,13 @@
         await trio.sleep(RENEWAL_INTERVAL_S)
 
 
+@pytest.mark.parametrize("part", ENDLESS_STARTS)
 async def test_memory_is_bounded_and_other_requests_are_served(
-    tmp_path, nursery
+    tmp_path, nursery, part
 ):
     deployed = deployment.Deployment(tmp_path, next(NUMBERS))
     server = test_processes.Server("u1")
+    send_endless = functools.partial(send_endless_answer, ENDLESS_STARTS[part])
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     nursery.start_soon(trio.serve_listeners, server.serve, [listener])
     try:
@@ -91,7 +98,7 @@
         nursery.start_soon(renew, deployed, "u1", "stock", listener)
         for number in range(UPSTREAMS):
             endless = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            nursery.start_soon(trio.serve_listeners, send_endless_body, endless)
+            nursery.start_soon(trio.serve_listeners, send_endless, endless)
             name = f"endless-{number}"
             sent = await announce(deployed, name, "endless", endless[0])
             assert sent == 200
