--- a/src/guavapulley/nodes/_edge.py
+++ b/src/guavapulley/nodes/_edge.py
@@ -19,7 +19,7 @@
 # Time during which requests are begun that may need longer than the stop. All
 # that callers send 3 s after the signal must be answered, and a busy machine
 # handles the signal late.
-MAX_OPEN_S = 2.5
+MAX_OPEN_S = 2.8
 # Time at the end of the stop timeout that is kept free for a busy machine.
 STOP_MARGIN_S = 0.4
 FINAL_ANSWERS_DELAY_S = 0.05
