--- a/src/guavapulley/control/_machine.py
+++ b/src/guavapulley/control/_machine.py
@@ -8,13 +8,13 @@
 from guavapulley import ports
 from guavapulley.control import _commands
 from guavapulley.control import _errors
+from guavapulley.control import _history
 from guavapulley.control import _keys
 
 # An accepted change that is resent after more verdicts than this conflicts,
 # because its base revision is no longer the current one. It is never applied
 # twice.
 MAX_VERDICTS = 10_000
-MAX_HISTORY = 1_000
 CONTENT_HASH_BYTES = 16
 
 Validator = Callable[[model.Configuration], str]
@@ -51,7 +51,7 @@
         self.codec = codec
         self.validate = validate
         self.configuration = model.Configuration()
-        self.history: list[ports.AcceptedChange] = []
+        self.history = _history.ChangeHistory(codec)
         self.verdicts: collections.OrderedDict[str, _commands.StoredVerdict] = (
             collections.OrderedDict()
         )
@@ -142,7 +142,6 @@
         self.history.append(
             ports.AcceptedChange(index, change, self.log_time_s)
         )
-        del self.history[:-MAX_HISTORY]
         return model.Verdict(model.VerdictKind.ACCEPTED, index)
 
     def snapshot(self) -> bytes:
@@ -164,7 +163,7 @@
         stored = self.codec.decode(state)
         assert isinstance(stored, _commands.ControlState)
         self.configuration = stored.configuration
-        self.history = list(stored.history)
+        self.history = _history.ChangeHistory(self.codec, stored.history)
         self.verdicts = collections.OrderedDict(
             (item.request_id, item) for item in stored.verdicts
         )
