--- a/src/guavapulley/adapters/http1/_server.py
+++ b/src/guavapulley/adapters/http1/_server.py
@@ -48,6 +48,8 @@
         stopping: Whether each answer closes its connection.
         idle_closing: Event that closes idle connections.
         body_budget: Limit on the bodies of all requests being received.
+        unsent: Number of requests whose answers have not been sent.
+        all_sent: Set, and replaced, when there is none.
     """
 
     stopping: bool = False
@@ -55,6 +57,20 @@
     body_budget: _body_budget.BodyBudget = attrs.field(
         factory=_body_budget.BodyBudget
     )
+    unsent: int = 0
+    all_sent: trio.Event = attrs.field(factory=trio.Event)
+
+    def record_ended(self, count: int) -> None:
+        """Records requests whose answers were sent or are not wanted."""
+        self.unsent -= count
+        if not self.unsent:
+            self.all_sent.set()
+            self.all_sent = trio.Event()
+
+    async def wait_sent(self) -> None:
+        """Returns once all answers have been sent."""
+        while self.unsent:
+            await self.all_sent.wait()
 
 
 @attrs.define(eq=False)
@@ -114,6 +130,7 @@
         except* Exception as group:  # an error must not end other connections
             self.events.write("http:connection_failed", reason=repr(group))
         finally:
+            self.state.record_ended(len(self.queue))
             self.parser.discard_body()
             self.stream.socket.close()
 
@@ -153,8 +170,7 @@
             await self.queue[0].sent.wait()
         exchange = _Exchange(parsed)
         earlier = list(self.queue)
-        self.queue.append(exchange)
-        self._notify()
+        self._enqueue(exchange)
         nursery.start_soon(self._answer, exchange, earlier)
         if not parsed.keep_alive:
             self.closing = True
@@ -169,11 +185,12 @@
             model.AnswerHead(error.status), str(error).encode()
         )
         exchange.answered.set()
-        self.queue.append(exchange)
+        self._enqueue(exchange)
         self.closing = True
-        self._notify()
 
-    def _notify(self) -> None:
+    def _enqueue(self, exchange: _Exchange) -> None:
+        self.queue.append(exchange)
+        self.state.unsent += 1
         self.changed.set()
         self.changed = trio.Event()
 
@@ -206,6 +223,7 @@
             with trio.fail_after(WRITE_TIMEOUT_S):
                 await self.stream.send_all(data)
             self.queue.popleft()
+            self.state.record_ended(1)
             exchange.sent.set()
             self.last_used_at_s = trio.current_time()
             if is_last:
--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -45,7 +45,6 @@
         running: Requests that have not been answered yet.
         reporter: Logs and counts requests.
         has_routing_table: Whether a routing table has been received.
-        idle: Set, and replaced, when no request is running.
         unreadable_events: Log of headers that cannot be read.
     """
 
@@ -71,7 +70,6 @@
         self.matcher = routing.RouteMatcher(())
         self.has_routing_table = False
         self.running = 0
-        self.idle = trio.Event()
         self.unreadable_events = ports.EventLimiter(
             events, UNREADABLE_LOG_INTERVAL_S
         )
@@ -100,9 +98,6 @@
             return await self._answer(request)
         finally:
             self.running -= 1
-            if not self.running:
-                self.idle.set()
-                self.idle = trio.Event()
 
     async def drain(self, schedule: _stop.StopSchedule) -> None:
         """Stops beginning requests that cannot end in time.
@@ -117,11 +112,6 @@
         await trio.sleep_until(schedule.open_until_s)
         self.placer.dismiss_futile()
 
-    async def wait_idle(self) -> None:
-        """Returns once no request is running."""
-        while self.running:
-            await self.idle.wait()
-
     async def _answer(self, request: model.HttpRequest) -> model.Answer:
         metadata = self.header_codec.caller_metadata(request)
         route = self._match(request)
--- a/src/guavapulley/nodes/_edge.py
+++ b/src/guavapulley/nodes/_edge.py
@@ -169,7 +169,7 @@
         await trio.sleep_until(start_s + serving_s)
         self.server.idle_closing.set()
         with trio.move_on_at(end_s):
-            await self.forwarder.wait_idle()
+            await self.server.wait_sent()
         # Time for the last answers to be sent.
         await trio.sleep(FINAL_ANSWERS_DELAY_S)
 
--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -128,6 +128,25 @@
         assert await busy.receive_some(4096) == b""
 
 
+@pytest.mark.parametrize("end", ["answered", "refused", "disconnected"])
+async def test_each_end_of_a_request_counts_as_sent(serve, handler, end):
+    """A request that stays counted would delay the end of a process."""
+    state = http1.ServerState()
+    stream = await connect(await serve(handler, state=state))
+    requests = build_request("/100") + build_request("/50")
+    if end == "refused":
+        requests += b"no request\r\n\r\n"
+    await stream.send_all(requests)
+    await handler.wait_for_count(handler.requests, 1)
+    assert state.unsent > 0
+    if end == "disconnected":
+        await stream.aclose()
+    with trio.fail_after(2):
+        await state.wait_sent()
+    assert state.unsent == 0
+    assert (len(handler.finished) == 2) == (end != "disconnected")
+
+
 async def test_request_that_expects_continue_keeps_its_headers(serve, handler):
     stream = await connect(await serve(handler))
     await stream.send_all(
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -40,6 +40,7 @@
 
     def __init__(self, name):
         self.name, self.served_ids, self.work_s = name, [], 0.01
+        self.padding = b""
 
     async def serve(self, stream):
         headers = await deployment.receive_headers(stream)
@@ -52,9 +53,10 @@
             (
                 "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
                 f"Request-Id: {headers['request-id']}\r\n"
-                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-                f"{body}"
+                f"Content-Length: {len(body) + len(self.padding)}\r\n"
+                f"Connection: close\r\n\r\n{body}"
             ).encode()
+            + self.padding
         )
         await stream.aclose()
 
@@ -216,6 +218,29 @@
     assert "long" not in server.served_ids
 
 
+async def test_a_stopping_edge_sends_whole_answers(running):
+    """The edge ended once its handlers had, while answers were being sent."""
+    deployed, server, _ = running
+    server.padding = bytes(16_000_000)
+    deployed.edge.send_signal(signal.SIGTERM)
+    await trio.sleep(1.5)
+    address = (deployed.edge.ip, deployment.FRONTEND_PORT)
+    socket = trio.socket.socket()
+    socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 65_536)
+    with socket, trio.fail_after(3):
+        await socket.connect(address)
+        await socket.send(
+            b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Request-Id: large\r\nDeadline-Ms: 2000\r\n\r\n"
+        )
+        # The grace is 4 s, and an idle edge ends after half of it.
+        await trio.sleep(1.0)
+        received = 0
+        while data := await socket.recv(1_000_000):
+            received += len(data)
+    assert received > len(server.padding)
+
+
 async def test_invalid_input_ends_no_process(running):
     deployed, _, _ = running
     invalid = {**heartbeat("127.0.0.1:1", 1), "capacity": "many"}
