--- a/src/guavapulley/fleet/_changes.py
+++ b/src/guavapulley/fleet/_changes.py
@@ -4,6 +4,10 @@
 from guavapulley import ports
 from guavapulley.fleet import _machine
 
+# Limit on the size of the encodings that are kept. Entries that are behind by
+# different commands have different ones.
+MAX_ENCODED_BYTES = 4 * 1_048_576
+
 
 class ChangesEncoder:
     """Encodes changes once for all entries that have the same state.
@@ -17,7 +21,9 @@
 
     Attributes:
         index: Log index of the state that `encoded` leads to.
-        encoded: Encoded `FleetChanges` by the log index of the requester.
+        encoded: Encoded `FleetChanges` by the log index of the requester,
+            oldest first.
+        size_bytes: Size of `encoded`.
     """
 
     def __init__(
@@ -27,6 +33,7 @@
         self.codec = codec
         self.index = 0
         self.encoded: dict[int, bytes] = {}
+        self.size_bytes = 0
 
     def encode_after(self, index: int) -> bytes:
         """Returns the encoded changes after a log index; empty if none."""
@@ -35,13 +42,22 @@
         if self.index != self.machine.state.index:
             self.index = self.machine.state.index
             self.encoded.clear()
+            self.size_bytes = 0
         changes = self.machine.changes_after(index) if index else None
         # All entries that need the complete state share its encoding.
         key = index if changes is not None else 0
         if key not in self.encoded:
-            self.encoded[key] = self.codec.encode(self._content(changes))
+            self._keep(key, self.codec.encode(self._content(changes)))
         return self.encoded[key]
 
+    def _keep(self, key: int, data: bytes) -> None:
+        """Keeps an encoding and drops the oldest others beyond the limit."""
+        self.size_bytes += len(data)
+        while self.encoded and self.size_bytes > MAX_ENCODED_BYTES:
+            oldest = next(iter(self.encoded))
+            self.size_bytes -= len(self.encoded.pop(oldest))
+        self.encoded[key] = data
+
     def _content(
         self, changes: tuple[model.FleetCommand, ...] | None
     ) -> model.FleetChanges:
--- a/tests/fleet/test_changes.py
+++ b/tests/fleet/test_changes.py
@@ -59,3 +59,15 @@
     for index in range(1, 11):
         assert len(encoder.encode_after(index)) < 2 * table_bytes + 1_048_576
     assert conftest.CODEC.decode(encoder.encode_after(1)).state is not None
+
+
+def test_encodings_for_many_entries_are_limited_in_size(log, encoder):
+    """Each of 195 entries behind by other commands kept up to 1 MiB."""
+    routes = tuple(conftest.route(f"r{number}") for number in range(40))
+    for version in range(1, 101):
+        log.apply(conftest.change(version, version - 1, routes=routes))
+    for index in range(1, 100):
+        encoder.encode_after(index)
+    kept = [len(data) for data in encoder.encoded.values()]
+    assert sum(kept) == encoder.size_bytes <= 4 * 1_048_576
+    assert len(kept) > 4
