--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -1,5 +1,7 @@
 """Forwarding of a request from its caller to an upstream and back."""
 
+import math
+
 import attrs
 import trio
 
@@ -112,6 +114,11 @@
         await trio.sleep_until(schedule.open_until_s)
         self.placer.dismiss_futile()
 
+    def refuse_all(self) -> None:
+        """Begins no more requests, because the entry ends at once."""
+        self.placer.stop_schedule = _stop.StopSchedule(-math.inf, -math.inf)
+        self.placer.dismiss_futile()
+
     async def _answer(self, request: model.HttpRequest) -> model.Answer:
         metadata = self.header_codec.caller_metadata(request)
         route = self._match(request)
--- a/src/guavapulley/nodes/_edge.py
+++ b/src/guavapulley/nodes/_edge.py
@@ -170,6 +170,7 @@
         self.server.idle_closing.set()
         with trio.move_on_at(end_s):
             await self.server.wait_sent()
+        self.forwarder.refuse_all()
         # Time for the last answers to be sent.
         await trio.sleep(FINAL_ANSWERS_DELAY_S)
 
--- a/tests/forwarding/test_stop.py
+++ b/tests/forwarding/test_stop.py
@@ -99,3 +99,11 @@
     answer = await stopping.send_request()
     assert answer.head.status == 502
     assert len(stopping.client.sent) == 1
+
+
+async def test_nothing_is_begun_when_the_entry_ends(autojump_clock, stopping):
+    """A request was begun between the last answer and the end."""
+    stopping.forwarder.refuse_all()
+    answer = await stopping.send_request(deadline=0.2)
+    assert answer.head.status == 503
+    assert stopping.client.sent == []
