--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -231,7 +231,13 @@
         """Starts all nodes; later starts are not the first one."""
         for node in self.nodes:
             node.start()
-        time.sleep(1.0)
+        # The settings change only once all nodes have read them.
+        for core in self.cores:
+            log = self.folder / f"{core.name}.log"
+            while b"core:started" not in log.read_bytes():
+                if core.process.poll() is not None:
+                    raise RuntimeError(f"{core.name} has ended")
+                time.sleep(0.05)
         for node in self.nodes:
             self.write_settings(node, bootstrap=False)
 
