--- a/review/6/case.py
+++ b/review/6/case.py
@@ -64,7 +64,7 @@
                 f"/Instances.Deregister/{server.ident}",
                 timeout_s=1.0,
             )
-        except (*harness.CALL_ERRORS, asyncio.TimeoutError):
+        except (TimeoutError, *harness.CALL_ERRORS):
             pass
         record.write(
             f"server {server.ident} Deregister at {core.name}: {status}"
@@ -74,6 +74,7 @@
 
 
 async def run(record, trouble):
+    """Plays the case; returns whether the rule was broken."""
     deployment = harness.Deployment(cores=3, edges=2)
     tasks = []
     try:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -42,7 +42,7 @@
         try:
             async with asyncio.timeout(5):
                 answer = await harness.read_answer(reader)
-        except (*harness.CALL_ERRORS, asyncio.TimeoutError) as error:
+        except (TimeoutError, *harness.CALL_ERRORS) as error:
             answer = (repr(error), {}, b"")
         status, headers, text = answer
         record.write(
@@ -57,6 +57,7 @@
 
 
 async def run(record, trouble):
+    """Plays the case; returns whether the rule was broken."""
     deployment = harness.Deployment(cores=3, edges=1)
     tasks = []
     try:
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -605,7 +605,7 @@
                 ),
                 timeout_s=4.5,
             )
-        except (*CALL_ERRORS, asyncio.TimeoutError) as error:
+        except (TimeoutError, *CALL_ERRORS) as error:
             status, body = repr(error), b""
         answers[ident] = (sent_s, edge.name, status, body)
         record.write(f"client {ident} at {edge.name}: {status}")
