--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,15 +14,16 @@
 )
 import harness  # noqa: E402
 
-CHANGES = 400
-ROUTES = 100
-LEAVING = 6
+CHANGES = 500
+ROUTES = 200
+SERVERS = 36  # as in the site file
+LEAVING = 5  # `scale_in` has a share of 0.15 in `fleetbench kinds`
+REQUESTS_PER_S = 120
 DRAIN_S = 2.5  # bound of the rule
 CONTACT_S = 4.0  # the core is stable again so long after the restart
 SERVES_ON_S = 9.0
-TOO_MANY = 3  # requests after the bound that count as a broken rule
-FIRST_CALL_S = 0.06  # after the restarted node listens again
-CALL_INTERVAL_S = 0.04
+FIRST_CALL_S = 0.05  # after the restarted node listens again
+CALL_INTERVAL_S = 0.1
 
 
 async def change_often(deployment, record):
@@ -80,7 +81,7 @@
     try:
         servers = [
             harness.Server(f"i-{i}", "svc", record, work_s=0.3, slots=3)
-            for i in range(LEAVING + 3)
+            for i in range(SERVERS)
         ]
         leaving = servers[:LEAVING]
         for server in servers:
@@ -126,7 +127,7 @@
                     "/a/1",
                     record,
                     answers,
-                    per_s=40,
+                    per_s=REQUESTS_PER_S,
                     prefix="q",
                 )
             )
@@ -174,7 +175,7 @@
                         f" {server.ident}: {status}"
                     )
         record.write(f"{late} requests after the bound")
-        return late >= TOO_MANY
+        return late > 0
     finally:
         for task in tasks:
             task.cancel()
