--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,7 +14,7 @@
 )
 import harness  # noqa: E402
 
-CHANGES = 500
+CHANGES = 650
 ROUTES = 200
 SERVERS = 36  # as in the site file
 LEAVING = 5  # `scale_in` has a share of 0.15 in `fleetbench kinds`
@@ -22,8 +22,8 @@
 DRAIN_S = 2.5  # bound of the rule
 CONTACT_S = 4.0  # the core is stable again so long after the restart
 SERVES_ON_S = 9.0
-FIRST_CALL_S = 0.05  # after the restarted node listens again
-CALL_INTERVAL_S = 0.1
+FIRST_CALL_S = 0.06  # after the restarted node listens again
+CALL_INTERVAL_S = 0.08
 
 
 async def change_often(deployment, record):
