Answer 502 when an upstream does not state that a request did not run

Cause: the forwarder returned each answer without Not-Executed unchanged, also one whose status callers take as the promise that the request has not run (408, 421, 429, 503).

Change: the header codec tells whether a status implies for callers that the request has not run. Such an answer, if it does not report that, counts as a failure of a request that may have run: idempotent ones are retried at another upstream, others get 502 without the upstream's headers. New event upstream:ambiguous_refusal. Failing upstreams of the soak answer with these statuses too.

Conclusion: a promise is now given only if every send was refused or did not reach an upstream; a request that could be retried still is.

--- a/src/guavapulley/forwarding/_error_answers.py
+++ b/src/guavapulley/forwarding/_error_answers.py
@@ -17,7 +17,8 @@
 )
 NO_WHOLE_ANSWER = errors.register_code(
     "NO_WHOLE_ANSWER",
-    "The upstream sent no complete answer; the request may have run.",
+    "The upstream sent no answer that can be passed on; the request may have"
+    " run.",
 )
 TIMED_OUT = errors.register_code(
     "TIMED_OUT", "The deadline of the request passed; it may have run."
--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -348,6 +348,17 @@
             tracker.record_failure()
             return None
         context.may_have_run = True
+        if metadata.implies_not_run:
+            # The upstream does not report that the request did not run, which
+            # the caller would conclude from the status.
+            tracker.record_failure()
+            self.events.write(
+                "upstream:ambiguous_refusal",
+                upstream=tracker.record.upstream,
+                request_id=context.metadata.request_id,
+                status=answer.head.status,
+            )
+            return None
         if answer.head.status >= 500:
             tracker.record_failure()
         else:
--- a/src/guavapulley/ports/_forwarding.py
+++ b/src/guavapulley/ports/_forwarding.py
@@ -49,6 +49,8 @@
 
     Attributes:
         not_run: Whether the upstream reports that it did not run the request.
+        implies_not_run: Whether callers take the status alone as the promise
+            that the request has not run and never will.
         incarnation_mismatch: Whether another incarnation listens on the
             address.
         request_id: ID of the answered request; None if unspecified.
@@ -61,6 +63,7 @@
     """
 
     not_run: bool = False
+    implies_not_run: bool = False
     incarnation_mismatch: bool = False
     request_id: str | None = None
     load: LoadSample | None = None
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -18,6 +18,9 @@
     return model.Answer(model.AnswerHead(code, tuple(headers.items())))
 
 
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
 class HeaderCodec:
     """Uses the headers `deadline`, `refused`, `other`, `leaving` and `pause`.
 
@@ -41,6 +44,7 @@
         headers = dict(head.headers)
         return ports.AnswerMetadata(
             not_run="refused" in headers or "other" in headers,
+            implies_not_run=head.status in NOT_RUN_STATUSES,
             incarnation_mismatch="other" in headers,
             leaving="leaving" in headers,
             refusal_s=float(headers["pause"]) if "pause" in headers else None,
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -298,3 +298,30 @@
     assert settings.control_address == model.NodeAddress("10.1.0.36", 8544)
     assert settings.callers_address is None
     assert settings.max_lost_disks == 2
+
+
+@pytest.mark.parametrize(
+    ("status", "reports_not_run", "not_run", "implies_not_run"),
+    [
+        (200, False, False, False),
+        (400, True, True, False),
+        (408, False, False, True),
+        (421, False, True, True),
+        (429, False, False, True),
+        (429, True, True, True),
+        (500, False, False, False),
+        (502, False, False, False),
+        (503, False, False, True),
+        (503, True, True, True),
+        (504, False, False, False),
+    ],
+)
+def test_only_what_an_upstream_reports_counts_as_not_run(
+    status, reports_not_run, not_run, implies_not_run
+):
+    headers = (("Not-Executed", "1"),) if reports_not_run else ()
+    metadata = _header_codec.PlatformHeaderCodec().answer_metadata(
+        model.AnswerHead(status, headers)
+    )
+    assert metadata.not_run is not_run
+    assert metadata.implies_not_run is implies_not_run
--- a/tests/soak/simulators.py
+++ b/tests/soak/simulators.py
@@ -22,6 +22,8 @@
 ROUTE_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 1.0
 SIGNATURE = b"Response-Signature: s\r\n"
+# Statuses of requests that a server ran and failed.
+FAILURE_STATUSES = (408, 429, 500, 503)
 
 
 def digest(body):
@@ -167,7 +169,9 @@
 
     async def _run(self, request_id):
         body = self.rng.randbytes(self.rng.randrange(1, 5_000))
-        status = 500 if self.rng.random() < self.failing_fraction else 200
+        status = 200
+        if self.rng.random() < self.failing_fraction:
+            status = self.rng.choice(FAILURE_STATUSES)
         self._record_arrival(request_id, ran=True, status=status, body=body)
         await trio.sleep(self.service_time_s * self.rng.uniform(0.5, 2))
         if self.rng.random() < self.lost_fraction:
