Answer 503 when a replica cannot tell which incarnation deregisters

Cause: a Deregister without `born` removed the incarnation that the replica knew before its read barrier, so that a late copy would not remove a newer one. A replica that replays its log, or is behind by that one command, knew the earlier incarnation; its removal changed nothing and was acknowledged.

Change: the incarnation of before the barrier is compared with the one after it. If another one was recorded meanwhile, the call is answered 503 (INCARNATION_UNCERTAIN) and changes nothing; the upstream calls again. That also holds if none was known before, where a late copy removed a newer incarnation.

Test of before: test_a_late_deregistration_does_not_remove_a_new_incarnation called a follower that did not know the upstream yet; it now waits until it does, as such a call is rejected at once. What it guards against is checked as before.

Conclusion: a removal is acknowledged only for an incarnation that was recorded when the caller called and still is.

--- a/src/guavapulley/fleet/_machine.py
+++ b/src/guavapulley/fleet/_machine.py
@@ -25,7 +25,7 @@
 
 
 class FleetError(errors.GuavapulleyError):
-    """The fleet state machine cannot apply an entry of the log."""
+    """The fleet state does not permit an entry of the log or a call."""
 
 
 @attrs.frozen
--- a/src/guavapulley/fleet/_service.py
+++ b/src/guavapulley/fleet/_service.py
@@ -4,6 +4,7 @@
 import trio
 
 from guavapulley import consensus
+from guavapulley import errors
 from guavapulley import model
 from guavapulley import ports
 from guavapulley.fleet import _changes
@@ -16,6 +17,12 @@
 # upstreams; equals three missed heartbeats of the leader.
 MAX_QUORUM_AGE_S = 0.9
 
+INCARNATION_UNCERTAIN = errors.register_code(
+    "INCARNATION_UNCERTAIN",
+    "The replica cannot tell which incarnation of an upstream leaves; the call"
+    " has had no effect and can be repeated.",
+)
+
 
 class FleetService:
     """One control replica with the fleet state (`ports.PeerHandler`).
@@ -160,19 +167,50 @@
 
         Raises:
             ConsensusError: The command was not committed in time.
+            FleetError: This replica cannot tell which incarnation leaves
+                (`INCARNATION_UNCERTAIN`); nothing was removed.
             PeerError: The leader did not answer; the command may have taken
                 effect.
         """
         if command.incarnation is None:
-            existing = self.machine.upstream(command.upstream)
-            await self._await_read_barrier()
-            existing = existing or self.machine.upstream(command.upstream)
-            if existing is None:
+            leaving = await self._find_leaving(command.upstream)
+            if leaving is None:
                 version = self.machine.state.routing.version
                 return model.FleetVerdict(accepted=True, version=version)
-            command = attrs.evolve(command, incarnation=existing.incarnation)
+            command = attrs.evolve(command, incarnation=leaving.incarnation)
         return await self.propose(command)
 
+    async def _find_leaving(self, name: str) -> model.UpstreamRecord | None:
+        """Returns the record of the incarnation whose removal is requested.
+
+        Returns:
+            The record, or None if the upstream is not recorded.
+
+        Raises:
+            ConsensusError: No quorum confirmed the record in time.
+            FleetError: Another incarnation was recorded during the wait
+                (`INCARNATION_UNCERTAIN`). Either the state of this replica was
+                old and the new incarnation leaves, or the call is a late copy
+                and the earlier one has left.
+        """
+        known = self.machine.upstream(name)
+        await self._await_read_barrier()
+        current = self.machine.upstream(name)
+        if current is None:
+            return known
+        if known is not None and known.incarnation == current.incarnation:
+            return known
+        self.events.write(
+            "fleet:incarnation_uncertain",
+            upstream=name,
+            incarnation=current.incarnation,
+            known=known.incarnation if known else None,
+        )
+        raise _machine.FleetError(
+            INCARNATION_UNCERTAIN,
+            f"{name} has been recorded anew while its removal was requested",
+        )
+
     async def renew_upstream(self, record: model.UpstreamRecord) -> None:
         """Handles the renewal of an upstream.
 
--- a/tests/fleet/control_cluster.py
+++ b/tests/fleet/control_cluster.py
@@ -34,12 +34,40 @@
         await super()._deliver_request(pending_call)
 
 
+class PausableApplier:
+    """Applies committed commands of a replica, except while it is paused.
+
+    A replica that replays a long log, or waits for a slow disk, is in contact
+    with a quorum and has not applied what that committed.
+    """
+
+    def __init__(self, replica):
+        self.apply_until_cancelled = replica.applier.run
+        replica.applier.run = self.run
+        self.scope, self.resumed = trio.CancelScope(), trio.Event()
+
+    async def run(self):
+        while True:
+            with self.scope:
+                await self.apply_until_cancelled()
+            await self.resumed.wait()
+            self.scope, self.resumed = trio.CancelScope(), trio.Event()
+
+    def pause(self):
+        self.scope.cancel()
+
+    def resume(self):
+        self.resumed.set()
+
+
 @attrs.define
 class Node:
     """A control replica and the cancel scope of its tasks."""
 
     address: model.NodeAddress
+    disk: memory.MemoryDisk
     service: fleet.FleetService
+    applier: PausableApplier
     scope: trio.CancelScope | None = None
 
 
@@ -50,16 +78,19 @@
         self.nursery, self.rng = nursery, random.Random(7)
         self.network = network or memory.MemoryNetwork(lambda a, b: DELAY_S)
         self.addresses = [model.NodeAddress("m", port) for port in (1, 2, 3)]
-        self.nodes = [self._node(address) for address in self.addresses]
+        self.nodes = [
+            self._node(address, memory.MemoryDisk())
+            for address in self.addresses
+        ]
 
-    def _node(self, address):
+    def _node(self, address, disk):
         machine = fleet.FleetStateMachine(conftest.CODEC)
         dialer = self.network.dialer(address)
         replica = consensus.Replica(
             f"c{address.port}",
             address,
             self.addresses,
-            memory.MemoryStore(memory.MemoryDisk(), self.rng, 0.002),
+            memory.MemoryStore(disk, self.rng, 0.002),
             dialer,
             conftest.CODEC,
             machine,
@@ -71,7 +102,7 @@
         service = fleet.FleetService(
             replica, machine, conftest.CODEC, dialer, ports.NullEventLog(), 3
         )
-        return Node(address, service)
+        return Node(address, disk, service, PausableApplier(replica))
 
     async def start(self):
         await self.nursery.start(self.network.run)
@@ -91,6 +122,15 @@
 
         await self.retry_until_true(accepts)
 
+    async def restart_paused(self, node):
+        """Crashes a replica and starts it again, without applying its log."""
+        node.scope.cancel()
+        restarted = self._node(node.address, node.disk)
+        restarted.applier.pause()
+        self.nodes[self.nodes.index(node)] = restarted
+        await self.nursery.start(self._run, restarted)
+        return restarted
+
     async def _run(self, node, task_status):
         with trio.CancelScope() as node.scope:
             async with trio.open_nursery() as nursery:
--- a/tests/platform/test_late_orders.py
+++ b/tests/platform/test_late_orders.py
@@ -6,6 +6,7 @@
 
 import types
 
+import attrs
 import pytest
 import trio
 
@@ -104,6 +105,8 @@
     autojump_clock, cluster
 ):
     follower = cluster.follower()
+    # A replica that does not know the upstream yet rejects the call at once.
+    await trio.sleep(1)
     cluster.network.held_type = model.ProposeCommand
     assert await call(follower, "/Instances.Deregister/u1") is None
     restarted = conftest.upstream(incarnation=200)
@@ -114,6 +117,66 @@
         assert node.service.machine.upstream("u1") == restarted
 
 
+async def test_a_replica_that_is_behind_does_not_confirm_a_departure(
+    autojump_clock, cluster
+):
+    # It removed the earlier incarnation that it knew, and the upstream that had
+    # left got requests until it expired (review/8).
+    leader, follower = cluster.leader(), cluster.follower()
+    restarted = conftest.upstream(incarnation=200)
+    await trio.sleep(1)
+    follower.applier.pause()
+    await trio.sleep(0.01)
+    await leader.service.renew_upstream(restarted)
+    statuses = []
+
+    async def leave():
+        statuses.append(await call(follower, "/Instances.Deregister/u1"))
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(leave)
+        await trio.sleep(0.5)
+        follower.applier.resume()
+    await leave()
+    assert statuses == [503, 200]
+    await trio.sleep(1)
+    for node in cluster.nodes:
+        assert node.service.machine.upstream("u1") is None
+    # The incarnation that left does not return with a late renewal.
+    await leader.service.renew_upstream(attrs.evolve(restarted, sequence=2))
+    assert leader.service.machine.upstream("u1") is None
+
+
+@pytest.mark.parametrize("name", ["u1", "new"])
+async def test_a_held_deregistration_does_not_remove_a_newer_incarnation(
+    autojump_clock, cluster, name
+):
+    # "new" was not recorded before: the earlier incarnation had expired.
+    follower = cluster.follower()
+    await trio.sleep(1)
+    cluster.network.held_type = model.ReadIndex
+    newer = conftest.upstream(
+        upstream=name,
+        incarnation=200,
+        address=model.NodeAddress("10.0.0.9", 80),
+    )
+    statuses = []
+
+    async def leave():
+        statuses.append(await call(follower, f"/Instances.Deregister/{name}"))
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(leave)
+        await trio.sleep(0.2)
+        await cluster.leader().service.renew_upstream(newer)
+        cluster.network.released.set()
+    # A 200 would confirm that the newer incarnation has left.
+    assert statuses == [503]
+    await trio.sleep(1)
+    for node in cluster.nodes:
+        assert node.service.machine.upstream(name) == newer
+
+
 async def test_only_the_leader_removes_silent_upstreams(
     autojump_clock, cluster
 ):
