Count a contact with a quorum once the replica has applied what it committed

A core node that replayed its log, lacked entries or waited for its disk confirmed renewals of upstreams that were not listed any more, and told edges that watch it that their state was up to date, so that they kept drained upstreams and evacuated domains.

Cause: the age of the quorum, on which renewals, watches and the choice of a replica rely, was that of the last contact, whatever had been applied.

Change: each contact with a leader carries its commit index and counts once that is applied (consensus/_confirmations.py). A leader relies on its own quorum once the first entry of its term is applied, as it knows only then what earlier terms committed. Elections and the check of the leader's quorum use the contact as before.

Conclusion: a replica that is behind refuses what it would decide on its own state; commands, reads and orders of evacuation were decided on the log before.

--- a/src/guavapulley/consensus/_follower.py
+++ b/src/guavapulley/consensus/_follower.py
@@ -111,7 +111,9 @@
         await state.adopt_term(request.term)
         if request.term != state.term:
             return self._rejection()
-        state.record_leader_contact(request.leader, request.quorum_age_s)
+        state.record_leader_contact(
+            request.leader, request.quorum_age_s, request.commit_index
+        )
         if request.entries:
             await self._wait_for_predecessor(request.previous_index)
             if request.term != state.term:
@@ -207,7 +209,7 @@
         await state.adopt_term(request.term)
         if request.term != state.term:
             return model.InstallSnapshotReply(state.term, 0)
-        state.record_leader_contact(request.leader, math.inf)
+        state.record_leader_contact(request.leader, math.inf, request.index)
         received = self._add_chunk(request)
         if received == request.total:
             self._install(request)
--- a/src/guavapulley/consensus/_replica.py
+++ b/src/guavapulley/consensus/_replica.py
@@ -28,10 +28,10 @@
         term: Newest term that the replica has seen.
         is_leader: Whether the replica leads in this term.
         leader: Peer address of the leader, if known.
-        quorum_age_s: Seconds since the last known contact with a quorum;
-            infinite if there was none. A follower takes it from the leader's
-            messages, without their delay on the network, which it does not
-            know.
+        quorum_age_s: Seconds since a quorum last confirmed the applied state;
+            infinite if none has since the start. A follower takes it from the
+            leader's messages, without their delay on the network, which it
+            does not know.
     """
 
     term: int
--- a/src/guavapulley/consensus/_state.py
+++ b/src/guavapulley/consensus/_state.py
@@ -10,6 +10,7 @@
 
 from guavapulley import model
 from guavapulley import ports
+from guavapulley.consensus import _confirmations
 from guavapulley.consensus import _errors
 from guavapulley.consensus import _journal
 from guavapulley.consensus import _leader_term
@@ -66,6 +67,8 @@
             or when the wait for the first contact began.
         recorded_quorum_contact_s: Last known contact with a quorum, apart from
             that of the current leader term.
+        confirmations: Times at which a quorum confirmed the applied state,
+            apart from those of the current leader term.
         commit_index: Index of the last entry known to be committed.
         applied_index: Index of the last applied entry.
         leading: State of the leader; None in other roles.
@@ -90,6 +93,7 @@
         self.leader_id: str | None = None
         self.leader_contact_s = -math.inf
         self.recorded_quorum_contact_s = -math.inf
+        self.confirmations = _confirmations.Confirmations()
         self.commit_index = 0
         self.applied_index = 0
         self.leader_term: _leader_term.LeaderTerm | None = None
@@ -147,8 +151,27 @@
         return max(contact_s, self.recorded_quorum_contact_s)
 
     def quorum_age_s(self) -> float:
-        """Returns the seconds since the last known contact with a quorum."""
-        return trio.current_time() - self.quorum_contact_s()
+        """Returns the seconds since a quorum confirmed the applied state.
+
+        It is infinite if none has since the start. A replica that is in contact
+        with a quorum but lacks committed entries decides on an old state.
+        """
+        confirmed_s = self.confirmations.newest_s(self.applied_index)
+        if self._has_applied_earlier_terms():
+            confirmed_s = max(confirmed_s, self.quorum_contact_s())
+        return trio.current_time() - confirmed_s
+
+    def _has_applied_earlier_terms(self) -> bool:
+        """Returns whether this is a leader that has all earlier commands.
+
+        A leader knows which entries of earlier terms are committed once the
+        first one of its own term is.
+        """
+        leader_term = self.leader_term
+        return (
+            leader_term is not None
+            and self.applied_index >= leader_term.first_index
+        )
 
     async def adopt_term(self, term: int) -> None:
         """Adopts a newer term and returns once it is durable.
@@ -180,6 +203,12 @@
         """Becomes a follower, and ends the leader term if there is one."""
         if self.leader_term is not None:
             self.recorded_quorum_contact_s = self.quorum_contact_s()
+            if self._has_applied_earlier_terms():
+                self.confirmations.record(
+                    self.commit_index,
+                    self.recorded_quorum_contact_s,
+                    self.applied_index,
+                )
             self.leader_term.ended.set()
             self.leader_term.peer_acked.notify()
             self.committed.notify()
@@ -192,13 +221,14 @@
         self.role = Role.FOLLOWER
 
     def record_leader_contact(
-        self, leader_id: str, quorum_age_s: float
+        self, leader_id: str, quorum_age_s: float, commit_index: int
     ) -> None:
         """Records contact from the leader of the current term.
 
         Args:
             leader_id: Replica ID of the leader.
-            quorum_age_s: Seconds since the leader had contact with a quorum.
+            quorum_age_s: Seconds since a quorum confirmed the leader's state.
+            commit_index: Index of the last entry that the leader has committed.
         """
         now = trio.current_time()
         if self.leader_id != leader_id:
@@ -211,6 +241,9 @@
         self.recorded_quorum_contact_s = max(
             self.recorded_quorum_contact_s, now - quorum_age_s
         )
+        self.confirmations.record(
+            commit_index, now - quorum_age_s, self.applied_index
+        )
 
     def commit(self, index: int) -> None:
         """Raises the commit index to an index, unless it is already higher."""
--- a/src/guavapulley/fleet/_service.py
+++ b/src/guavapulley/fleet/_service.py
@@ -1,5 +1,7 @@
 """Service of a control replica for upstreams, operators and entries."""
 
+import math
+
 import attrs
 import trio
 
@@ -13,8 +15,8 @@
 
 COMMAND_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 1.0
-# A replica without contact to a quorum for longer than this rejects renewals of
-# upstreams; equals three missed heartbeats of the leader.
+# A replica whose state no quorum has confirmed for longer than this rejects
+# renewals of upstreams; equals three missed heartbeats of the leader.
 MAX_QUORUM_AGE_S = 0.9
 
 INCARNATION_UNCERTAIN = errors.register_code(
@@ -229,17 +231,29 @@
         self.liveness.record_upstream(record.upstream)
 
     def check_quorum(self) -> None:
-        """Checks that this replica had contact with a quorum recently.
+        """Checks that a quorum confirmed the state of this replica recently.
 
         Raises:
-            NoQuorumError: The last contact is older than `MAX_QUORUM_AGE_S`.
+            NoQuorumError: The state is older than `MAX_QUORUM_AGE_S`.
         """
         age_s = self.replica.leadership().quorum_age_s
         if age_s > MAX_QUORUM_AGE_S:
             raise consensus.NoQuorumError(
-                f"no contact with a quorum for {age_s:.1f} s", appended=False
+                f"no quorum has confirmed the state for {age_s:.1f} s",
+                appended=False,
             )
 
+    def has_caught_up(self) -> bool:
+        """Returns whether the state is at least of the time of the start.
+
+        A replica that knows no leader cannot tell: its state may be the newest
+        one that there is.
+        """
+        leadership = self.replica.leadership()
+        return leadership.leader is None or math.isfinite(
+            leadership.quorum_age_s
+        )
+
     async def read(self) -> model.FleetState:
         """Returns a state that contains all commands accepted before the call.
 
--- a/src/guavapulley/model/_fleet.py
+++ b/src/guavapulley/model/_fleet.py
@@ -215,7 +215,8 @@
         index: Log index of the state after this update.
         encoded_changes: Encoded `FleetChanges`, so that a replica encodes them
             once for all entries; empty if there are none.
-        quorum_age_s: Seconds since the replica last had evidence of a quorum.
+        quorum_age_s: Seconds since a quorum last confirmed the applied state of
+            the replica.
         replicas: Peer addresses of the control replicas.
     """
 
--- a/src/guavapulley/model/_replication.py
+++ b/src/guavapulley/model/_replication.py
@@ -108,7 +108,8 @@
 
     Attributes:
         target: ID of the replica that is to answer; see `RequestVote`.
-        quorum_age_s: Seconds since the leader last had evidence of a quorum.
+        quorum_age_s: Seconds since a quorum last confirmed the applied state of
+            the leader.
     """
 
     cluster_id: str
@@ -220,7 +221,7 @@
     Attributes:
         identity: Identity of the replica; None if it has none.
         role: `leader`, `follower`, `candidate` or `learner`.
-        quorum_age_s: Seconds since the replica last had evidence of a quorum;
+        quorum_age_s: Seconds since a quorum last confirmed the applied state;
             the status is stale if it is large.
     """
 
