Accept only status lines of HTTP/1.0 and 1.1 with a status from 100 to 599

Report of other operators: an answer with the status 000 reached a client. Here a status below 100 counted as an interim answer, so that the request ended only at its deadline; statuses from 600 to 999, HTTP/0.9 and 2.0 were passed on by the platform's client, 600 to 999, HTTP/0.9 and `0200` by the product's own. In answer to HEAD an interim answer was passed on as the final one.

Cause: httptools and http.client accept any number, and the clients checked only whether it is below 200.

Change: both clients check version and status as soon as the line has arrived, the first one of an exchange after 10 bytes; an interim answer to HEAD is skipped.

An error comes within 1 s on a connection that stays open.

Conclusion: bytes without a valid status line are no answer on both clients; an idempotent request is retried elsewhere, others get 502.

--- a/src/guavapulley/adapters/http/_connection.py
+++ b/src/guavapulley/adapters/http/_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 from http import client
+import re
 import socket
 import threading
 import time
@@ -26,20 +27,50 @@
 # Bodies up to this size are read in the same thread call as the head.
 PREFETCH_BYTES = 65_536
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}( [^\r\n]*)?\r?\n")
+
 _ERRORS = (OSError, exceptions.HTTPError, ValueError, client.HTTPException)
 
 
+class _HeadReader:
+    """Reads the lines of a head and checks the status line.
+
+    `http.client` accepts any number as a status.
+
+    Attributes:
+        stream: The connection.
+        is_status_line_next: Whether the next line is a status line.
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+        self.is_status_line_next = False
+
+    def readline(self, limit: int) -> bytes:
+        """Returns the next line; see `io.BufferedIOBase`.
+
+        Raises:
+            HTTPException: It is not a status line.
+        """
+        line = bytes(self.stream.readline(limit))
+        is_checked, self.is_status_line_next = self.is_status_line_next, False
+        if is_checked and not _STATUS_LINE.fullmatch(line):
+            raise client.HTTPException(f"not a status line: {line[:80]!r}")
+        return line
+
+
 class _Response(client.HTTPResponse):
-    """A response that detects surplus bytes in its read buffer.
+    """A response with a strict head, which detects surplus bytes.
 
-    The buffer is discarded with the response, so a check of the socket before
-    the next request would miss these bytes.
+    The read buffer is discarded with the response, so a check of the socket
+    before the next request would miss surplus bytes in it.
 
     Attributes:
         has_surplus_bytes: Whether bytes followed the end of the response.
     """
 
     has_surplus_bytes = False
+    fp: Any
 
     def __init__(
         self, sock: socket.socket, *args: Any, **keywords: Any
@@ -47,6 +78,18 @@
         super().__init__(sock, *args, **keywords)
         self.sock = sock
 
+    def begin(self) -> None:
+        stream, self.fp = self.fp, _HeadReader(self.fp)
+        try:
+            super().begin()
+        finally:
+            self.fp = stream
+
+    def _read_status(self) -> tuple[str, int, str]:
+        self.fp.is_status_line_next = True
+        status: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
+        return status
+
     def _close_conn(self) -> None:
         with contextlib.suppress(OSError, ValueError):
             self.sock.settimeout(0)
--- a/src/guavapulley/adapters/http1/_parsing.py
+++ b/src/guavapulley/adapters/http1/_parsing.py
@@ -20,6 +20,14 @@
 # Interim answers (1xx) accepted before the final one.
 MAX_INTERIM_ANSWERS = 8
 
+HTTP_VERSIONS = frozenset({"1.0", "1.1"})
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+# What a status line begins with, up to the first digit of the status.
+STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] [1-5]")
+STATUS_LINE_START_BYTES = 10
+
 _IDLE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})\b")
 
 
@@ -292,6 +300,7 @@
             answer.
 
     Attributes:
+        start: The first bytes received, up to `STATUS_LINE_START_BYTES`.
         complete: Complete answers that have not been consumed.
         has_invalid_bytes: Whether bytes other than answers were received.
             Always true after an answer for which `no_body` is set, which ends
@@ -308,6 +317,7 @@
         no_body: bool,
     ) -> None:
         super().__init__(limits, body_budget)
+        self.start = b""
         self.interim_answers = 0
         self.no_body = no_body
         self.complete: list[ParsedAnswer] = []
@@ -319,14 +329,21 @@
         super().reset()
         self.body_ends_at_close = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Checks the status line before the headers have arrived."""
+        self._check_status_line()
+
     def on_headers_complete(self) -> None:
         """Determines what ends the body."""
         super().on_headers_complete()
+        self._check_status_line()
         status = self.parser.get_status_code()
+        if status < MIN_FINAL_STATUS:
+            return
         if self.no_body:
             self._add_complete(keep_alive=False)
             self.has_invalid_bytes = True
-        elif status >= 200 and status not in (204, 304):
+        elif status not in (204, 304):
             framing_headers = self.header_values("transfer-encoding")
             framing_headers += self.header_values("content-length")
             self.body_ends_at_close = not framing_headers
@@ -335,12 +352,40 @@
         """Adds a complete answer unless it is an interim one."""
         if self.body_ends_at_close:
             return
-        if self.parser.get_status_code() < 200:
+        if self.parser.get_status_code() < MIN_FINAL_STATUS:
             self._count_interim()
         elif not self.no_body:
             self._add_complete(keep_alive=bool(self.parser.should_keep_alive()))
         self.reset()
 
+    def _check_status_line(self) -> None:
+        """Checks what httptools leaves to its users.
+
+        Raises:
+            MessageError: It is not the status line of an answer.
+        """
+        status = self.parser.get_status_code()
+        version = self.parser.get_http_version()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise MessageError(502, f"invalid status {status:03}")
+        if version not in HTTP_VERSIONS:
+            raise MessageError(502, f"HTTP version {version}")
+
+    def _check_start(self, data: bytes) -> None:
+        """Checks the first bytes, as the rest of their line may never arrive.
+
+        Raises:
+            MessageError: No answer begins with them.
+        """
+        if len(self.start) == STATUS_LINE_START_BYTES:
+            return
+        # Line breaks before a message are ignored (RFC 9112, section 2.2).
+        received = (self.start + data).lstrip(b"\r\n")
+        self.start = received[:STATUS_LINE_START_BYTES]
+        is_complete = len(self.start) == STATUS_LINE_START_BYTES
+        if is_complete and not STATUS_LINE_START.match(self.start):
+            raise MessageError(502, f"not a status line: {self.start!r}")
+
     def _count_interim(self) -> None:
         self.interim_answers += 1
         if self.interim_answers > MAX_INTERIM_ANSWERS:
@@ -372,6 +417,7 @@
         """
         self.received_bytes += len(data)
         try:
+            self._check_start(data)
             self.parser.feed_data(data)
             self._check_received_size()
         except (
--- /dev/null
+++ b/tests/adapters/http/test_malformed_answers.py
@@ -0,0 +1,81 @@
+"""Guards against bytes that are no answer and are passed on as one.
+
+What is no answer must also be known as such at once, not at the deadline.
+"""
+
+import pytest
+import trio
+
+from guavapulley import model
+from guavapulley import ports
+from guavapulley.adapters import http
+from tests.adapters import malformed_answers
+
+ID_HEADER = b"Guavapulley-Request-Id: r1\r\n"
+REMAINING_HEAD = ID_HEADER + b"Content-Length: 2\r\n\r\nok"
+WHOLE_ANSWER = b"HTTP/1.1 200 OK\r\n" + REMAINING_HEAD
+# Far below the deadlines of requests.
+AT_ONCE_S = 1.0
+
+
+def request(method="GET"):
+    return model.SteeredRequest("r1", "s", method, "/a")
+
+
+async def fetch(client, record, method="GET"):
+    answer = await client.send(record, request(method), timeout_s=5.0)
+    try:
+        return b"".join([chunk async for chunk in answer.chunks()])
+    finally:
+        await answer.aclose()
+
+
+async def check_error(client, record, method="GET"):
+    with (
+        trio.fail_after(AT_ONCE_S),
+        pytest.raises(ports.UpstreamError) as error,
+    ):
+        await fetch(client, record, method)
+    assert error.value.code == ports.UPSTREAM_BROKEN
+    assert not error.value.not_run
+    assert not client.pool.open_counts
+
+
+def script_holding(data):
+    """Sends bytes and keeps the connection open, which no length would end."""
+
+    async def script(server, stream):
+        while await server.receive(stream):
+            await stream.send_all(data)
+
+    return script
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("before", [b"", malformed_answers.INTERIM_ANSWER])
+@pytest.mark.parametrize("line", malformed_answers.STATUS_LINES)
+async def test_a_status_line_that_is_invalid_is_an_error_at_once(
+    raw_upstream, line, before, method
+):
+    script = script_holding(before + line + b"\r\n" + REMAINING_HEAD)
+    async with raw_upstream(script) as (_, record):
+        await check_error(http.UrllibUpstreamClient(), record, method)
+
+
+@pytest.mark.parametrize("line", malformed_answers.STATUS_LINES)
+async def test_an_invalid_status_line_without_a_head_is_an_error_at_once(
+    raw_upstream, line
+):
+    async with raw_upstream(script_holding(line + b"\r\n")) as (_, record):
+        await check_error(http.UrllibUpstreamClient(), record)
+
+
+@pytest.mark.parametrize("line", malformed_answers.STATUS_LINES)
+async def test_bytes_after_the_answer_are_not_the_next_answer(
+    raw_upstream, line
+):
+    client = http.UrllibUpstreamClient()
+    script = script_holding(WHOLE_ANSWER + line + b"\r\n" + REMAINING_HEAD)
+    async with raw_upstream(script) as (_, record):
+        for _ in range(2):
+            assert await fetch(client, record) == b"ok"
