Take no head of an answer that breaks off for a complete one

Report of other operators: an upstream stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. This happened on the product's own interface, for each kind of head, for GET and HEAD.

Cause: http.client takes the end of the connection for the end of the head, and ignores the headers behind a line that is no header.

Change: the client of adapters/http reads the head through a check of each line, and treats a cut or malformed one as a lost answer. adapters/http1 was not affected (httptools reports no end of the head).

Conclusion: an answer without its whole head is no answer on both clients.

--- a/src/guavapulley/adapters/http/_connection.py
+++ b/src/guavapulley/adapters/http/_connection.py
@@ -27,35 +27,47 @@
 # Bodies up to this size are read in the same thread call as the head.
 PREFETCH_BYTES = 65_536
 
+# Lines of the head of an answer, with their line breaks.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}( [^\r\n]*)?\r?\n")
+_HEADER_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*)?\r?\n")
+_CONTINUATION_LINE = re.compile(rb"[ \t][^\r\n]*\r?\n")
 
 _ERRORS = (OSError, exceptions.HTTPError, ValueError, client.HTTPException)
 
 
 class _HeadReader:
-    """Reads the lines of a head and checks the status line.
+    """Reads the lines of a head and checks each.
 
-    `http.client` accepts any number as a status.
+    `http.client` takes the end of the connection for the end of a head, ignores
+    the headers behind a malformed line, and accepts any number as a status.
 
     Attributes:
         stream: The connection.
-        is_status_line_next: Whether the next line is a status line.
+        next_lines: Patterns of which the next line matches one.
     """
 
     def __init__(self, stream: Any) -> None:
         self.stream = stream
-        self.is_status_line_next = False
+        self.next_lines: tuple[re.Pattern[bytes], ...] = ()
+
+    def expect_status_line(self) -> None:
+        """Begins a head."""
+        self.next_lines = (_STATUS_LINE,)
 
     def readline(self, limit: int) -> bytes:
         """Returns the next line; see `io.BufferedIOBase`.
 
         Raises:
-            HTTPException: It is not a status line.
+            HTTPException: It is not a complete line of a head.
         """
         line = bytes(self.stream.readline(limit))
-        is_checked, self.is_status_line_next = self.is_status_line_next, False
-        if is_checked and not _STATUS_LINE.fullmatch(line):
-            raise client.HTTPException(f"not a status line: {line[:80]!r}")
+        is_valid = any(pattern.fullmatch(line) for pattern in self.next_lines)
+        if len(line) < limit and not is_valid:
+            raise client.HTTPException(f"not a line of a head: {line[:80]!r}")
+        if self.next_lines == (_STATUS_LINE,):
+            self.next_lines = (_HEADER_LINE,)
+        else:
+            self.next_lines = (_HEADER_LINE, _CONTINUATION_LINE)
         return line
 
 
@@ -86,7 +98,7 @@
             self.fp = stream
 
     def _read_status(self) -> tuple[str, int, str]:
-        self.fp.is_status_line_next = True
+        self.fp.expect_status_line()
         status: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
         return status
 
--- a/tests/adapters/http/test_malformed_answers.py
+++ b/tests/adapters/http/test_malformed_answers.py
@@ -16,6 +16,7 @@
 WHOLE_ANSWER = b"HTTP/1.1 200 OK\r\n" + REMAINING_HEAD
 # Far below the deadlines of requests.
 AT_ONCE_S = 1.0
+HEADS = malformed_answers.complete_heads(ID_HEADER)
 
 
 def request(method="GET"):
@@ -79,3 +80,61 @@
     async with raw_upstream(script) as (_, record):
         for _ in range(2):
             assert await fetch(client, record) == b"ok"
+
+
+@pytest.mark.parametrize(
+    "line", [b"no header", b": y", b"X Y: z", b"X\x00: y", b" folded"]
+)
+async def test_a_line_that_is_no_header_is_an_error(raw_upstream, line):
+    # The headers behind it were ignored.
+    head = b"HTTP/1.1 200 OK\r\n" + line + b"\r\n" + REMAINING_HEAD
+    async with raw_upstream(script_holding(head)) as (_, record):
+        await check_error(http.UrllibUpstreamClient(), record)
+
+
+async def test_a_header_on_several_lines_is_accepted(raw_upstream):
+    head = b"HTTP/1.1 200 OK\r\nX: y\r\n z\r\n" + REMAINING_HEAD
+    async with raw_upstream(script_holding(head)) as (_, record):
+        assert await fetch(http.UrllibUpstreamClient(), record) == b"ok"
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("kind", HEADS)
+async def test_a_head_that_breaks_off_is_an_error_at_once(
+    raw_upstream, kind, method, reset
+):
+    # The caller got a 200 with an empty or a short body, framed as whole.
+    head = HEADS[kind]
+    cuts = iter(range(len(head)))
+
+    async def script(server, stream):
+        await server.receive(stream)
+        await stream.send_all(head[: next(cuts)])
+        if reset:
+            stream.setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")
+
+    client = http.UrllibUpstreamClient()
+    async with raw_upstream(script) as (_, record):
+        for _ in head:
+            await check_error(client, record, method)
+
+
+@pytest.mark.parametrize("kind", HEADS)
+async def test_a_head_that_breaks_off_on_a_kept_connection_is_an_error(
+    raw_upstream, kind
+):
+    head = HEADS[kind]
+    cuts = iter(range(1, len(head)))
+
+    async def script(server, stream):
+        await server.receive(stream)
+        await stream.send_all(WHOLE_ANSWER)
+        await server.receive(stream)
+        await stream.send_all(head[: next(cuts)])
+
+    client = http.UrllibUpstreamClient()
+    async with raw_upstream(script) as (_, record):
+        for _ in head[1:]:
+            assert await fetch(client, record) == b"ok"
+            await check_error(client, record)
--- a/tests/adapters/http1/test_malformed_answers.py
+++ b/tests/adapters/http1/test_malformed_answers.py
@@ -16,6 +16,7 @@
 EARLIER_ANSWER = LATE_ANSWER.replace(b"6", b"7", 1)
 # Far below the deadlines of requests.
 AT_ONCE_S = 1.0
+HEADS = malformed_answers.complete_heads(ID_HEADER)
 
 
 def request(method="GET"):
@@ -88,3 +89,44 @@
         upstream, request("HEAD"), reuse_connection=True
     )
     assert answer.head.status == 200
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("kind", HEADS)
+async def test_a_head_that_breaks_off_is_an_error_at_once(
+    scripted_upstream, client, kind, method, reset
+):
+    # The caller got a 200 with an empty or a short body, framed as whole.
+    head = HEADS[kind]
+    cuts = iter(range(len(head)))
+
+    async def script(stream):
+        await stream.receive_some(4096)
+        await stream.send_all(head[: next(cuts)])
+        if reset:
+            stream.setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")
+        await stream.aclose()
+
+    upstream = await scripted_upstream(script)
+    for _ in head:
+        await check_error(client, upstream, method)
+
+
+@pytest.mark.parametrize("kind", HEADS)
+async def test_a_head_that_breaks_off_on_a_kept_connection_is_an_error(
+    scripted_upstream, client, kind
+):
+    head = HEADS[kind]
+    cuts = iter(range(1, len(head)))
+
+    async def script(stream):
+        await stream.receive_some(4096)
+        await stream.send_all(EARLIER_ANSWER)
+        await stream.receive_some(4096)
+        await stream.send_all(head[: next(cuts)])
+
+    upstream = await scripted_upstream(script)
+    for _ in head[1:]:
+        await client.exchange(upstream, request(), reuse_connection=True)
+        await check_error(client, upstream)
