Do not refuse a request whose handler may have been started

Change: only a failure to start the handler is refused; after a cancellation the connection is closed without an answer.

Measured: test_a_request_whose_handler_was_started_is_not_refused got the 503 before and passes.

Conclusion: `not_run` is true in each answer that the server itself writes.

--- a/src/guavapulley/adapters/http/_gateway.py
+++ b/src/guavapulley/adapters/http/_gateway.py
@@ -65,10 +65,13 @@
             exchange, batch = trio.from_thread.run(
                 self.bridge.start_exchange, request, trio_token=token
             )
-        except (RuntimeError, trio.Cancelled):
+        except RuntimeError:
             # The nursery or trio has ended; no handler received the request.
             self.req.simple_response("503 Service Unavailable", "stopping")
             return
+        except trio.Cancelled as error:
+            # A handler may have received it.
+            raise _truncated_reply_error() from error
         try:
             while True:
                 self._write(batch)
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -11,6 +11,7 @@
 from guavapulley import model
 from guavapulley import ports
 from guavapulley.adapters import http
+from guavapulley.adapters.http import _gateway
 
 LIMITS = http.HttpLimits(
     workers=4, max_body_bytes=1_000, max_head_bytes=2_000, receive_timeout_s=0.3
@@ -282,6 +283,22 @@
         await connect(server)
 
 
+async def test_a_request_whose_handler_was_started_is_not_refused(monkeypatch):
+    # The caller was told that the request had not run, though trio ended only
+    # after its handler had received it.
+    start_exchange = _gateway.Bridge.start_exchange
+
+    async def start_and_end(bridge, request):
+        await start_exchange(bridge, request)
+        raise trio.Cancelled._create()
+
+    monkeypatch.setattr(_gateway.Bridge, "start_exchange", start_and_end)
+    async with running_server() as (server, handler):
+        answer = await exchange(server, build_request("/"))
+        assert handler.requests
+    assert answer == b""
+
+
 async def test_cancellation_ends_requests_in_progress():
     with trio.fail_after(3):
         async with running_server() as (server, handler):
