Record what exchanges tell about upstreams in a module of its own

UpstreamRecorder has the records of reports, failures, withdrawals and successes; EntryError is what the entry answers by itself, in place of tuples of code, reason and time.

--- a/src/guavapulley/forwarding/_error_answers.py
+++ b/src/guavapulley/forwarding/_error_answers.py
@@ -3,6 +3,8 @@
 import json
 import random
 
+import attrs
+
 from guavapulley import errors
 from guavapulley import model
 
@@ -41,6 +43,26 @@
 JITTER_FRACTION = 0.5
 
 
+@attrs.frozen
+class EntryError:
+    """An error with which the entry itself answers a request.
+
+    Attributes:
+        code: Registered code; determines the status.
+        reason: Human-readable reason.
+        retry_after_s: Seconds after which the caller should retry; None if it
+            should not.
+    """
+
+    code: str
+    reason: str
+    retry_after_s: float | None = None
+
+    def answer(self) -> model.Answer:
+        """Returns the answer for the caller."""
+        return error_answer(self.code, self.reason, self.retry_after_s)
+
+
 def draw_retry_after_s(min_s: float, jitter_s: float | None = None) -> float:
     """Returns a random time after which a refused caller should retry.
 
--- a/src/guavapulley/forwarding/_forwarder.py
+++ b/src/guavapulley/forwarding/_forwarder.py
@@ -5,7 +5,6 @@
 import attrs
 import trio
 
-from guavapulley import errors
 from guavapulley import model
 from guavapulley import ports
 from guavapulley import routing
@@ -16,6 +15,7 @@
 from guavapulley.forwarding import _reporter
 from guavapulley.forwarding import _retries
 from guavapulley.forwarding import _stop
+from guavapulley.forwarding import _upstream_recorder
 
 # Assumed for requests whose caller does not state how long it waits.
 DEFAULT_CALLER_TIMEOUT_S = 30.0
@@ -27,7 +27,6 @@
 # Bounds of the time after which a refused caller is asked to retry.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
-UNREADABLE_LOG_INTERVAL_S = 60.0
 STOPPING_REASON = "use another entry"
 
 
@@ -47,7 +46,7 @@
         running: Requests that have not been answered yet.
         reporter: Logs and counts requests.
         has_routing_table: Whether a routing table has been received.
-        unreadable_events: Log of headers that cannot be read.
+        upstream_recorder: Records what exchanges tell about upstreams.
     """
 
     def __init__(
@@ -66,14 +65,13 @@
         self.placer = _placer.Placer(
             registry, location, policy or routing.LeastCostPolicy()
         )
-        self.events = events
         self.reporter = _reporter.RequestReporter(registry, events, metrics)
         self.splitter = routing.TrafficSplitter()
         self.matcher = routing.RouteMatcher(())
         self.has_routing_table = False
         self.running = 0
-        self.unreadable_events = ports.EventLimiter(
-            events, UNREADABLE_LOG_INTERVAL_S
+        self.upstream_recorder = _upstream_recorder.UpstreamRecorder(
+            registry, events
         )
 
     def apply_state(self, state: model.FleetState) -> None:
@@ -155,26 +153,32 @@
         self, metadata: ports.CallerMetadata, route: model.Route | None
     ) -> model.Answer:
         """Refuses a request for which no upstream is chosen."""
-        retry_after_s: float | None
+        refusal = self._find_refusal(route)
+        answer = refusal.answer()
+        self.reporter.report_refusal(
+            metadata,
+            answer.head.status,
+            refusal.code,
+            refusal.reason,
+            refusal.retry_after_s,
+        )
+        return answer
+
+    def _find_refusal(
+        self, route: model.Route | None
+    ) -> _error_answers.EntryError:
         if not self.has_routing_table:
-            code, reason = _error_answers.NOT_READY, "no routing table yet"
             retry_after_s = _error_answers.draw_retry_after_s(
                 NOT_READY_RETRY_AFTER_S, NOT_READY_JITTER_S
             )
-        elif route is None:
-            code, reason = (
-                _error_answers.NO_ROUTE,
-                "no route for this host and path",
+            return _error_answers.EntryError(
+                _error_answers.NOT_READY, "no routing table yet", retry_after_s
             )
-            retry_after_s = None
-        else:
-            code, reason = _error_answers.STOPPING, STOPPING_REASON
-            retry_after_s = _error_answers.draw_retry_after_s(MIN_RETRY_AFTER_S)
-        answer = _error_answers.error_answer(code, reason, retry_after_s)
-        self.reporter.report_refusal(
-            metadata, answer.head.status, code, reason, retry_after_s
-        )
-        return answer
+        if route is None:
+            return _error_answers.EntryError(
+                _error_answers.NO_ROUTE, "no route for this host and path"
+            )
+        return _stopping_error()
 
     async def _send_until_answered(
         self, context: _context.RequestContext
@@ -204,30 +208,38 @@
     def _build_final_error(
         self, context: _context.RequestContext, reason: str
     ) -> model.Answer:
-        retry_after_s: float | None = None
-        if not context.may_have_run and not self.placer.may_begin(
-            context.deadline_at_s
-        ):
-            code, reason = _error_answers.STOPPING, STOPPING_REASON
-            retry_after_s = _error_answers.draw_retry_after_s(MIN_RETRY_AFTER_S)
-        elif not context.may_have_run:
-            code = _error_answers.NO_ROOM
-            retry_after_s = _error_answers.draw_retry_after_s(
-                self._min_retry_after_s(context)
-            )
+        """Returns the answer to a request that no upstream has answered."""
+        error = self._find_final_error(context, reason)
+        if error.code == _error_answers.NO_ROOM:
             context.exclusions = self.registry.exclusions(
                 context.service,
                 context.route.regions,
                 context.tried,
                 self.placer.find_candidates(context),
             )
-        elif trio.current_time() >= context.deadline_at_s:
-            code = _error_answers.TIMED_OUT
-        else:
-            code = _error_answers.NO_WHOLE_ANSWER
-        context.code, context.reason = code, reason
-        context.retry_after_s = retry_after_s
-        return _error_answers.error_answer(code, reason, retry_after_s)
+        context.code, context.reason = error.code, error.reason
+        context.retry_after_s = error.retry_after_s
+        return error.answer()
+
+    def _find_final_error(
+        self, context: _context.RequestContext, reason: str
+    ) -> _error_answers.EntryError:
+        if context.may_have_run:
+            has_time = trio.current_time() < context.deadline_at_s
+            return _error_answers.EntryError(
+                _error_answers.NO_WHOLE_ANSWER
+                if has_time
+                else _error_answers.TIMED_OUT,
+                reason,
+            )
+        if not self.placer.may_begin(context.deadline_at_s):
+            return _stopping_error()
+        retry_after_s = _error_answers.draw_retry_after_s(
+            self._min_retry_after_s(context)
+        )
+        return _error_answers.EntryError(
+            _error_answers.NO_ROOM, reason, retry_after_s
+        )
 
     def _min_retry_after_s(self, context: _context.RequestContext) -> float:
         """Returns the seconds before which a refused caller gains nothing."""
@@ -275,7 +287,7 @@
                 )
         except ports.UpstreamError as error:
             reached = not error.not_run
-            self._record_failure(context, tracker, error)
+            self.upstream_recorder.record_failure(context, tracker, error)
         finally:
             send_record["took_s"] = round(trio.current_time() - started_s, 3)
             self.placer.release(tracker)
@@ -293,24 +305,6 @@
             return None
         return self._process_answer(context, tracker, answer, started_s)
 
-    def _record_failure(
-        self,
-        context: _context.RequestContext,
-        tracker: routing.UpstreamTracker,
-        error: errors.GuavapulleyError,
-    ) -> None:
-        if error.code == ports.UPSTREAM_NOT_REACHED:
-            tracker.record_connect_failure()
-        elif error.code != ports.UPSTREAM_WITHDRAWN:
-            tracker.record_failure()
-        self.events.write(
-            "upstream:failed",
-            upstream=tracker.record.upstream,
-            request_id=context.metadata.request_id,
-            code=error.code,
-            reason=error.message,
-        )
-
     def _process_answer(
         self,
         context: _context.RequestContext,
@@ -324,79 +318,37 @@
             The answer for the caller, or None if it must not be passed on.
         """
         metadata = self.header_codec.answer_metadata(answer.head)
-        context.send_records[-1]["status"] = answer.head.status
-        if metadata.unreadable_headers:
-            self.unreadable_events.write(
-                "upstream:unreadable_header",
-                upstream=tracker.record.upstream,
-                headers=list(metadata.unreadable_headers),
-            )
-        if metadata.load is not None:
-            context.send_records[-1]["slowdown"] = metadata.load.slowdown_factor
-            context.send_records[-1]["running"] = metadata.load.running
-            context.send_records[-1]["queued"] = metadata.load.queued
-            context.send_records[-1]["own"] = tracker.in_flight
-            tracker.record_sample(metadata.load, ran=not metadata.not_run)
+        status = answer.head.status
+        context.send_records[-1]["status"] = status
+        self.upstream_recorder.record_report(context, tracker, metadata)
         if metadata.incarnation_mismatch:
-            tracker.replaced = True
-            self.events.write(
-                "upstream:replaced", upstream=tracker.record.upstream
-            )
+            self.upstream_recorder.record_replacement(tracker)
             return None
-        self._record_withdrawal(tracker, metadata)
+        self.upstream_recorder.record_withdrawal(tracker, metadata)
         if metadata.not_run:
             tracker.record_failure()
             return None
         context.may_have_run = True
         if metadata.implies_not_run:
-            # The upstream does not report that the request did not run, which
-            # the caller would conclude from the status.
-            tracker.record_failure()
-            self.events.write(
-                "upstream:ambiguous_refusal",
-                upstream=tracker.record.upstream,
-                request_id=context.metadata.request_id,
-                status=answer.head.status,
+            self.upstream_recorder.record_ambiguous_refusal(
+                context, tracker, status
             )
             return None
-        if answer.head.status >= 500:
+        if status >= 500:
             tracker.record_failure()
         else:
-            key = context.affinity_key()
-            durations = self.registry.typical_durations(tracker.record.service)
-            relative_duration = durations.record(
-                trio.current_time() - started_s,
-                metadata.load.slowdown_factor if metadata.load else 1.0,
-                warm=key is None or key in tracker.warm_keys,
+            self.upstream_recorder.record_success(
+                context, tracker, metadata, started_s
             )
-            tracker.record_success(relative_duration)
-            tracker.add_warm_key(key)
+        headers = self.header_codec.answer_headers(answer.head)
         return attrs.evolve(
-            answer,
-            head=attrs.evolve(
-                answer.head,
-                headers=self.header_codec.answer_headers(answer.head),
-            ),
+            answer, head=attrs.evolve(answer.head, headers=headers)
         )
 
-    def _record_withdrawal(
-        self, tracker: routing.UpstreamTracker, metadata: ports.AnswerMetadata
-    ) -> None:
-        """Records that an upstream leaves, or refuses requests for a time."""
-        record = tracker.record
-        if metadata.leaving and not tracker.leaving:
-            tracker.leaving = True
-            self.events.write(
-                "upstream:leaving",
-                upstream=record.upstream,
-                incarnation=record.incarnation,
-            )
-        if metadata.refusal_s is not None:
-            tracker.record_refusal(metadata.refusal_s)
-            self.events.write(
-                "upstream:refusing",
-                upstream=record.upstream,
-                refusal_s=round(metadata.refusal_s, 3),
-            )
-        if metadata.leaving or metadata.refusal_s is not None:
-            self.registry.queue(record.service).dismiss_futile()
+
+def _stopping_error() -> _error_answers.EntryError:
+    return _error_answers.EntryError(
+        _error_answers.STOPPING,
+        STOPPING_REASON,
+        _error_answers.draw_retry_after_s(MIN_RETRY_AFTER_S),
+    )
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -197,6 +197,8 @@
 @pytest.fixture
 def recorder(harness):
     event_log = Recorder()
-    harness.forwarder.events = harness.forwarder.reporter.events = event_log
-    harness.forwarder.unreadable_events.events = event_log
+    harness.forwarder.reporter.events = event_log
+    upstream_recorder = harness.forwarder.upstream_recorder
+    upstream_recorder.events = event_log
+    upstream_recorder.unreadable_events.events = event_log
     return event_log
--- a/tests/forwarding/test_registry.py
+++ b/tests/forwarding/test_registry.py
@@ -12,7 +12,7 @@
     """Returns the list of logged events as (event, fields)."""
     event_log = support.Recorder()
     harness.registry.events = event_log
-    harness.forwarder.events = harness.forwarder.reporter.events = event_log
+    harness.forwarder.reporter.events = event_log
     return event_log.recorded
 
 
