Let a late message of a leader not confirm a newer state

A message that a partition held up, with a commit index below what the replica has applied, counted as a contact at its arrival, so that the state seemed newer than it was. It is ignored now; so is a new leader that does not know all committed entries yet.

Measured: test_a_late_contact_does_not_count failed before and passes; tests/consensus, tests/fleet and tests/control pass (255 with two of platform).

Conclusion: only what the applied index reaches or lacks is confirmed. A late message with the current commit index still counts at its arrival, as before.

--- a/src/guavapulley/consensus/_confirmations.py
+++ b/src/guavapulley/consensus/_confirmations.py
@@ -53,7 +53,8 @@
         """
         self.newest_s(applied_index)
         newest = self.pending[-1] if self.pending else None
-        if newest is not None and commit_index < newest.commit_index:
+        newest_index = newest.commit_index if newest else applied_index
+        if commit_index < newest_index:
             return  # It is late, or from a leader that does not know them all.
         if newest is not None and commit_index == newest.commit_index:
             time_s = max(time_s, self.pending.pop().time_s)
--- a/tests/consensus/test_confirmations.py
+++ b/tests/consensus/test_confirmations.py
@@ -40,6 +40,14 @@
     assert confirmations.newest_s(5) == 3.0
 
 
+def test_a_late_contact_does_not_count():
+    # A partition can hold up a message of the leader.
+    confirmations = _confirmations.Confirmations()
+    confirmations.record(5, 3.0, applied_index=5)
+    confirmations.record(4, 9.0, applied_index=5)
+    assert confirmations.newest_s(5) == 3.0
+
+
 def test_contacts_of_a_replica_that_does_not_catch_up_are_bounded():
     confirmations = _confirmations.Confirmations()
     for index in range(10_000):
