Let a connection count to the limit only until its caller sees it closed

Seen: test_a_connection_with_a_request_in_progress_counts_to_the_limit failed once beside load, with 503 SERVER_BUSY on a connection that was opened right after another one had been closed; 6 of 150 repetitions beside load failed in the same way.

Cause: a worker closed the socket first and removed the connection from those that count afterwards.

Change: the order is reversed.

Measured: test_a_connection_that_its_caller_sees_closed_counts_no_longer, in which the worker pauses after the close, failed in 3 of 3 runs before and passed in 3 of 3 since.

Conclusion: a caller is refused only while the connections are really open.

--- a/src/guavapulley/adapters/http/_cheroot.py
+++ b/src/guavapulley/adapters/http/_cheroot.py
@@ -133,8 +133,9 @@
         super().__init__(http_server, sock, make_stream)
 
     def close(self) -> None:
-        super().close()
+        # First, so that a caller that sees the close can connect again.
         self.server.admitted.discard(self)
+        super().close()
 
 
 class CherootServer(server.HTTPServer):
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import json
+import time
 
 import attrs
+from cheroot import server as cheroot_server
 import pytest
 import trio
 
@@ -256,6 +258,24 @@
     assert b"200 OK" in accepted
 
 
+async def test_a_connection_that_its_caller_sees_closed_counts_no_longer(
+    monkeypatch,
+):
+    # A caller that connected again at once was refused, although there was
+    # room, until the worker had finished the connection.
+    close_socket = cheroot_server.HTTPConnection.close
+
+    def close_and_pause(connection):
+        close_socket(connection)
+        time.sleep(0.2)
+
+    monkeypatch.setattr(cheroot_server.HTTPConnection, "close", close_and_pause)
+    limits = attrs.evolve(LIMITS, max_connections=1)
+    async with running_server(limits) as (server, _):
+        answers = [await exchange(server, build_request("/")) for _ in range(3)]
+    assert all(b"200 OK" in answer for answer in answers)
+
+
 async def test_stop_answers_requests_that_have_arrived():
     async with (
         running_server() as (server, handler),
