Ignore offers to upgrade instead of answering them with a second answer

By reading and test: with an offer and a body, the request was passed on without its body, and the body was parsed as the next request.

Cause: httptools raises HttpParserUpgrade at the end of the head of such a request, which it reports as complete whatever body follows.

Change: RequestParser parses the head again without the offer, and then the rest. After CONNECT the connection is closed with the one answer.

Conclusion: each request gets one answer and reaches the upstream with its body.

--- a/src/guavapulley/adapters/http1/_parsing.py
+++ b/src/guavapulley/adapters/http1/_parsing.py
@@ -242,12 +242,10 @@
         parse_error: MessageError | None = None
         self.received_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            self._feed_parser(data)
             self._check_received_size()
         except MessageError as error:
             parse_error = error
-        except httptools.HttpParserUpgrade:
-            parse_error = MessageError(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
             parse_error = _callback_error(error) or MessageError(
                 400, str(error)
@@ -257,6 +255,40 @@
         if parse_error is not None:
             raise parse_error
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parses bytes and ignores offers to upgrade (RFC 9110, section 7.8).
+
+        httptools ends at the head of a request with such an offer. The head is
+        parsed again without it, as a body and further requests may follow.
+        """
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                unparsed = data[upgrade.args[0] :]
+            offering = self.complete.pop()
+            if offering.request.method == "CONNECT":
+                # What follows is meant for a tunnel.
+                self.complete.append(attrs.evolve(offering, keep_alive=False))
+                return
+            version = self.parser.get_http_version()
+            self.parser = httptools.HttpRequestParser(self)
+            data = _head_without_offer(offering.request, version) + unparsed
+
+
+def _head_without_offer(request: model.HttpRequest, version: str) -> bytes:
+    """Returns the head of a request without its offer to upgrade."""
+    lines = [
+        f"{request.method} {request.raw_path} HTTP/{version}",
+        *(
+            f"{name}: {value}"
+            for name, value in request.headers
+            if name.lower() != "upgrade"
+        ),
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode(ENCODING)
+
 
 def _message_error(error: Exception) -> MessageError:
     """Returns an error of an answer as one of this adapter."""
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -209,6 +209,22 @@
     assert (request.path, request.query) == ("/a%2Fb c", "d=%2F")
 
 
+async def test_an_offer_to_upgrade_is_ignored():
+    # A second answer would be taken for that to the next request.
+    offer = build_request(
+        "/", extra_headers="Connection: Upgrade\r\nUpgrade: h2c\r\n"
+    ).replace(b"Connection: close\r\n", b"")
+    async with running_server() as (server, _):
+        stream = await connect(server)
+        await stream.send_all(offer)
+        first = await stream.receive_some()
+        await trio.sleep(0.1)
+        await stream.send_all(build_request("/"))
+        second = await receive_all(stream)
+    assert first.count(b"HTTP/1.1 200 ") == 1
+    assert second.count(b"HTTP/1.1 ") == second.count(b"HTTP/1.1 200 ") == 1
+
+
 async def test_slow_senders_do_not_occupy_the_workers():
     async with running_server() as (server, _), trio.open_nursery() as nursery:
         streams = [await connect(server) for _ in range(8)]
