Record that an expired upstream has left

Cause: a Deregister without `born` found no record, was acknowledged without a command, and left no trace that could reject the heartbeat.

Change: the state machine keeps incarnation, sequence number and leaving state of the last record of expired upstreams. A deregistration names that incarnation, and only a newer renewal brings an expired upstream back, none of an incarnation that had announced that it leaves.

Conclusion: what was acknowledged as gone stays gone, whether it had expired or not.

--- a/src/guavapulley/fleet/_machine.py
+++ b/src/guavapulley/fleet/_machine.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterator
+from typing import TypeVar
 
 import attrs
 
@@ -11,11 +12,15 @@
 from guavapulley.fleet import _recent
 from guavapulley.fleet import _validation
 
+T = TypeVar("T")
+
 # Accepted routing changes that are acknowledged again when resent.
 MAX_ACCEPTED_CHANGES = 10_000
 # Departed upstreams that are kept so that a late renewal does not record them
 # again.
 MAX_DEPARTED_UPSTREAMS = 10_000
+# Expired upstreams whose last record is known.
+MAX_EXPIRED_UPSTREAMS = 10_000
 # Entries and failure domains whose last change is known.
 MAX_CHANGE_INDEXES = 10_000
 
@@ -28,6 +33,37 @@
     """The fleet state does not permit an entry of the log or a call."""
 
 
+@attrs.frozen
+class LastRecord:
+    """What is known of the last record of an upstream.
+
+    Attributes:
+        incarnation: Incarnation of the record.
+        sequence: Sequence number of the record.
+        leaving: Whether the incarnation was leaving.
+    """
+
+    incarnation: int
+    sequence: int
+    leaving: bool
+
+    @classmethod
+    def of(cls, record: model.UpstreamRecord) -> "LastRecord":
+        """Returns what is kept of a record."""
+        leaving = record.state is model.UpstreamState.LEAVING
+        return cls(record.incarnation, record.sequence, leaving)
+
+    def may_precede(self, record: model.UpstreamRecord) -> bool:
+        """Returns whether a record of the same upstream may follow.
+
+        An upstream that is leaving stays in that state for the rest of its
+        incarnation.
+        """
+        if (self.incarnation, self.sequence) >= record.version():
+            return False
+        return not (self.leaving and self.incarnation == record.incarnation)
+
+
 @attrs.frozen
 class FleetSnapshot:
     """Snapshot of the state machine.
@@ -42,6 +78,7 @@
             change first.
         evacuation_indexes: Log indexes of the last accepted evacuation commands
             by failure domain, oldest command first.
+        expired: Last records of expired upstreams by name, oldest expiry first.
     """
 
     state: model.FleetState
@@ -49,6 +86,7 @@
     departed: dict[str, int]
     node_indexes: dict[str, int] = attrs.field(factory=dict)
     evacuation_indexes: dict[str, int] = attrs.field(factory=dict)
+    expired: dict[str, LastRecord] = attrs.field(factory=dict)
 
 
 # Types that the codec must support in addition to those of the model.
@@ -75,6 +113,7 @@
             by failure domain, oldest command first. Commands without effect
             count as well: an order that was acknowledged must not be undone by
             an older one.
+        expired: Last records of expired upstreams by name, oldest expiry first.
         recent: The newest commands that changed the state.
     """
 
@@ -93,6 +132,9 @@
         self.evacuation_indexes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self.expired: collections.OrderedDict[str, LastRecord] = (
+            collections.OrderedDict()
+        )
         self.recent = _recent.RecentCommands()
 
     def apply(self, index: int, payload: bytes) -> object:
@@ -116,8 +158,8 @@
             )
         command = message.command
         refusal = self._find_refusal(command)
-        if isinstance(command, model.RemoveUpstream) and command.final:
-            self._record_departure(command)
+        if isinstance(command, model.RemoveUpstream):
+            self._record_removal(command)
         if refusal is None:
             if self._is_effective(command):
                 self.state = model.apply_fleet_command(self.state, command)
@@ -235,23 +277,15 @@
         return False
 
     def _is_newer_record(self, record: model.UpstreamRecord) -> bool:
-        """Returns whether a record replaces the current one.
+        """Returns whether a record is newer than the last one of its upstream.
 
-        An upstream that is leaving stays in that state for the rest of its
-        incarnation, and an address belongs to the incarnation that started
-        last.
+        An address belongs to the incarnation that started last.
         """
         if self.departed.get(record.upstream, -1) >= record.incarnation:
             return False
-        existing = self.upstream(record.upstream)
-        if existing is not None:
-            if existing.version() >= record.version():
-                return False
-            if (
-                existing.incarnation == record.incarnation
-                and existing.state is model.UpstreamState.LEAVING
-            ):
-                return False
+        last_record = self._last_record(record.upstream)
+        if last_record is not None and not last_record.may_precede(record):
+            return False
         return not any(
             other.address == record.address
             and other.upstream != record.upstream
@@ -259,16 +293,32 @@
             for other in self.state.upstreams
         )
 
-    def _record_departure(self, command: model.RemoveUpstream) -> None:
-        """Records that an incarnation has left, also if it had expired."""
+    def _record_removal(self, command: model.RemoveUpstream) -> None:
+        """Records that an incarnation has left or expired."""
         name, incarnation = command.upstream, command.incarnation
-        existing = self.upstream(name)
-        if incarnation is None and existing is not None:
-            incarnation = existing.incarnation
+        last_record = self._last_record(name)
+        if incarnation is None and last_record is not None:
+            incarnation = last_record.incarnation
         if incarnation is None:
             return
-        newest = max(incarnation, self.departed.get(name, incarnation))
-        _set_newest(self.departed, name, newest, MAX_DEPARTED_UPSTREAMS)
+        if command.final:
+            newest = max(incarnation, self.departed.get(name, incarnation))
+            _set_newest(self.departed, name, newest, MAX_DEPARTED_UPSTREAMS)
+            if last_record is not None and last_record.incarnation <= newest:
+                self.expired.pop(name, None)
+        elif last_record is not None and last_record.incarnation == incarnation:
+            _set_newest(self.expired, name, last_record, MAX_EXPIRED_UPSTREAMS)
+
+    def _last_record(self, name: str) -> LastRecord | None:
+        record = self.upstream(name)
+        if record is not None:
+            return LastRecord.of(record)
+        return self.expired.get(name)
+
+    def last_incarnation(self, name: str) -> int | None:
+        """Returns the incarnation of an upstream, also if it has expired."""
+        last_record = self._last_record(name)
+        return last_record.incarnation if last_record else None
 
     def upstream(self, name: str) -> model.UpstreamRecord | None:
         """Returns the record of an upstream, or None without one."""
@@ -288,6 +338,7 @@
                 dict(self.departed),
                 dict(self.node_indexes),
                 dict(self.evacuation_indexes),
+                dict(self.expired),
             )
         )
 
@@ -302,13 +353,14 @@
         self.evacuation_indexes = collections.OrderedDict(
             stored.evacuation_indexes
         )
+        self.expired = collections.OrderedDict(stored.expired)
         self.recent = _recent.RecentCommands(stored.state.index)
 
 
 def _set_newest(
-    values: collections.OrderedDict[str, int],
+    values: collections.OrderedDict[str, T],
     key: str,
-    value: int,
+    value: T,
     max_items: int,
 ) -> None:
     """Sets a value as the newest item and drops the oldest beyond a limit."""
--- a/src/guavapulley/fleet/_service.py
+++ b/src/guavapulley/fleet/_service.py
@@ -175,42 +175,41 @@
                 effect.
         """
         if command.incarnation is None:
-            leaving = await self._find_leaving(command.upstream)
-            if leaving is None:
+            incarnation = await self._find_leaving(command.upstream)
+            if incarnation is None:
                 version = self.machine.state.routing.version
                 return model.FleetVerdict(accepted=True, version=version)
-            command = attrs.evolve(command, incarnation=leaving.incarnation)
+            command = attrs.evolve(command, incarnation=incarnation)
         return await self.propose(command)
 
-    async def _find_leaving(self, name: str) -> model.UpstreamRecord | None:
-        """Returns the record of the incarnation whose removal is requested.
+    async def _find_leaving(self, name: str) -> int | None:
+        """Returns the incarnation of an upstream whose removal is requested.
 
         Returns:
-            The record, or None if the upstream is not recorded.
+            The incarnation, also if it has expired, as a late renewal would
+            record it again; None if the upstream is not known.
 
         Raises:
-            ConsensusError: No quorum confirmed the record in time.
-            FleetError: Another incarnation was recorded during the wait
+            ConsensusError: No quorum confirmed the incarnation in time.
+            FleetError: The incarnation changed during the wait
                 (`INCARNATION_UNCERTAIN`). Either the state of this replica was
                 old and the new incarnation leaves, or the call is a late copy
                 and the earlier one has left.
         """
-        known = self.machine.upstream(name)
+        known = self.machine.last_incarnation(name)
         await self._await_read_barrier()
-        current = self.machine.upstream(name)
-        if current is None:
-            return known
-        if known is not None and known.incarnation == current.incarnation:
-            return known
+        current = self.machine.last_incarnation(name)
+        if known == current:
+            return current
         self.events.write(
             "fleet:incarnation_uncertain",
             upstream=name,
-            incarnation=current.incarnation,
-            known=known.incarnation if known else None,
+            incarnation=current,
+            known=known,
         )
         raise _machine.FleetError(
             INCARNATION_UNCERTAIN,
-            f"{name} has been recorded anew while its removal was requested",
+            f"another incarnation of {name} was recorded meanwhile",
         )
 
     async def renew_upstream(self, record: model.UpstreamRecord) -> None:
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -130,11 +130,18 @@
     log.apply(conftest.change(1, 0))
     log.apply(model.RecordUpstream(conftest.upstream()))
     log.apply(model.RemoveUpstream("u1", None, final=True))
+    other = conftest.upstream(
+        upstream="u2", address=model.NodeAddress("10.0.0.2", 80)
+    )
+    log.apply(model.RecordUpstream(other))
+    log.apply(model.RemoveUpstream("u2", 100, final=False))
     copy = fleet.FleetStateMachine(conftest.CODEC)
     copy.restore(log.machine.snapshot())
     assert copy.state == log.machine.state
     assert copy.changes_after(0) is None
     assert copy.departed == log.machine.departed
+    assert copy.expired == log.machine.expired
+    assert set(copy.expired) == {"u2"}
     assert copy.accepted == log.machine.accepted
 
 
@@ -149,6 +156,46 @@
     assert log.machine.upstream("u1") is not None
 
 
+def test_an_expired_upstream_that_any_deregistration_names_does_not_return(log):
+    # A deregistration on the platform does not name the incarnation (review/9).
+    log.apply(model.RecordUpstream(conftest.upstream()))
+    log.apply(model.RemoveUpstream("u1", 100, final=False))
+    assert log.machine.last_incarnation("u1") == 100
+    log.apply(model.RemoveUpstream("u1", None, final=True))
+    log.apply(model.RecordUpstream(conftest.upstream(sequence=9)))
+    assert log.machine.upstream("u1") is None
+    assert log.machine.last_incarnation("u1") is None
+    log.apply(model.RecordUpstream(conftest.upstream(incarnation=101)))
+    assert log.machine.upstream("u1") is not None
+
+
+@pytest.mark.parametrize(
+    ("changes", "returns"),
+    [
+        ({"sequence": 5}, False),
+        ({"sequence": 4}, False),
+        ({"sequence": 6}, True),
+        ({"incarnation": 99, "sequence": 9}, False),
+        ({"incarnation": 101, "sequence": 1}, True),
+    ],
+)
+@pytest.mark.parametrize("leaving", [False, True])
+def test_only_a_newer_renewal_brings_an_expired_upstream_back(
+    log, changes, returns, leaving
+):
+    # A renewal of before may arrive late; it listed an upstream as ready that
+    # had announced that it leaves.
+    state = (
+        model.UpstreamState.LEAVING if leaving else model.UpstreamState.READY
+    )
+    log.apply(model.RecordUpstream(conftest.upstream(sequence=5, state=state)))
+    log.apply(model.RemoveUpstream("u1", 100, final=False))
+    log.apply(model.RecordUpstream(conftest.upstream(**changes)))
+    same_incarnation = changes.get("incarnation", 100) == 100
+    expected = returns and not (leaving and same_incarnation)
+    assert (log.machine.upstream("u1") is not None) is expected
+
+
 def test_an_old_deregistration_does_not_remove_a_new_incarnation(log):
     log.apply(model.RecordUpstream(conftest.upstream(incarnation=200)))
     log.apply(model.RemoveUpstream("u1", 100, final=True))
--- a/tests/platform/test_late_orders.py
+++ b/tests/platform/test_late_orders.py
@@ -177,6 +177,22 @@
         assert node.service.machine.upstream(name) == newer
 
 
+async def test_a_late_renewal_does_not_return_an_expired_upstream_that_left(
+    autojump_clock, cluster
+):
+    # The deregistration found no record and was confirmed without a trace; a
+    # renewal that a partition had held up listed the upstream again (review/9).
+    await trio.sleep(10)
+    follower = cluster.follower()
+    assert follower.service.machine.upstream("u1") is None
+    assert await call(follower, "/Instances.Deregister/u1") == 200
+    late = conftest.upstream(sequence=2)
+    await cluster.leader().service.renew_upstream(late)
+    await trio.sleep(1)
+    for node in cluster.nodes:
+        assert node.service.machine.upstream("u1") is None
+
+
 async def test_only_the_leader_removes_silent_upstreams(
     autojump_clock, cluster
 ):
