Apply changed limits to connections that are kept open

Cause: a connection read the limits once, when it was accepted.

Change: a connection asks for the limits in force, for sizes when a request begins, for timeouts at each wait.

Conclusion: a change of the limits is in force for each request that begins after it, also for lower limits.

--- a/src/guavapulley/adapters/http1/_server.py
+++ b/src/guavapulley/adapters/http1/_server.py
@@ -90,20 +90,18 @@
         self,
         stream: trio.SocketStream,
         handler: AnswerHandler,
-        limits: model.CallerLimits,
+        get_limits: Callable[[], model.CallerLimits],
         state: ServerState,
         events: ports.EventLog,
     ) -> None:
         self.stream = stream
         self.handler = handler
-        self.limits = limits
+        self.get_limits = get_limits
         self.state = state
         self.events = events
         peer_address = stream.socket.getpeername()
         self.parser = _parsing.RequestParser(
-            _parsing.MessageLimits(
-                limits.max_header_bytes, limits.max_body_bytes
-            ),
+            _message_limits(get_limits()),
             peer_address[0],
             state.body_budget,
         )
@@ -142,6 +140,8 @@
                 return
             if self.closing:
                 continue  # Unread bytes would turn the close into a reset.
+            if not self.parser.message_begun:
+                self.parser.limits = _message_limits(self.get_limits())
             try:
                 for parsed in self.parser.feed(data):
                     await self._accept(nursery, parsed)
@@ -154,7 +154,7 @@
         """Returns the next bytes, or None at the end of the connection."""
         message_begun = self.parser.message_begun
         timeout_s = (
-            self.limits.header_timeout_s
+            self.get_limits().header_timeout_s
             if message_begun and not self.parser.head_complete
             else float("inf")
         )
@@ -242,8 +242,8 @@
         raise trio.ClosedResourceError
 
     async def _close_idle(self, nursery: trio.Nursery) -> None:
-        idle_timeout_s = self.limits.idle_timeout_s + IDLE_MARGIN_S
         while True:
+            idle_timeout_s = self.get_limits().idle_timeout_s + IDLE_MARGIN_S
             with trio.move_on_after(idle_timeout_s / 4):
                 await self.state.idle_closing.wait()
             if self.queue or self.parser.message_begun:
@@ -256,6 +256,12 @@
                 return
 
 
+def _message_limits(limits: model.CallerLimits) -> _parsing.MessageLimits:
+    return _parsing.MessageLimits(
+        limits.max_header_bytes, limits.max_body_bytes
+    )
+
+
 async def serve_http1(
     address: model.NodeAddress,
     handler: AnswerHandler,
@@ -269,7 +275,8 @@
     Args:
         address: Address to listen on.
         handler: Answers the requests.
-        limits: Returns the limits of a new connection.
+        limits: Returns the limits in force. Those on sizes apply to requests
+            that begin later, also on open connections.
         events: Receives failures of connections and of the handler.
         state: Closes connections when the process stops; None for a state that
             never does.
@@ -286,7 +293,7 @@
     async def serve(stream: trio.SocketStream) -> None:
         try:
             connection = _Connection(
-                stream, handler, limits(), server_state, events
+                stream, handler, limits, server_state, events
             )
         except OSError:
             return  # The caller disconnected before the accept.
--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -229,3 +229,82 @@
     with trio.fail_after(5):
         assert (await stream.receive_some(4_096)).startswith(b"HTTP/1.1 503 ")
     assert handler.requests == []
+
+
+class ChangingLimits:
+    """Limits that an operator changes while connections are open."""
+
+    def __init__(self, **limits):
+        self.current = model.CallerLimits(**limits)
+
+    def __call__(self):
+        return self.current
+
+
+def build_order(size, *headers):
+    lines = ["POST /0 HTTP/1.1", "Host: h", f"Content-Length: {size}", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + b"x" * size
+
+
+async def receive_status(stream):
+    with trio.fail_after(5):
+        return (await stream.receive_some(4096))[9:12]
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "status"), [(10, 100, b"200"), (100, 10, b"413")]
+)
+async def test_a_kept_connection_follows_a_change_of_the_limit_on_bodies(
+    serve, handler, before, after, status
+):
+    # Callers that kept their connections were refused by the old limit.
+    limits = ChangingLimits(max_body_bytes=before)
+    stream = await connect(await serve(handler, limits))
+    await stream.send_all(build_order(10))
+    assert await receive_status(stream) == b"200"
+    limits.current = model.CallerLimits(max_body_bytes=after)
+    await stream.send_all(build_order(100))
+    assert await receive_status(stream) == status
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "status"), [(100, 1_000, b"200"), (1_000, 100, b"431")]
+)
+async def test_a_kept_connection_follows_a_change_of_the_limit_on_heads(
+    serve, handler, before, after, status
+):
+    limits = ChangingLimits(max_header_bytes=before)
+    stream = await connect(await serve(handler, limits))
+    await stream.send_all(build_order(0))
+    assert await receive_status(stream) == b"200"
+    limits.current = model.CallerLimits(max_header_bytes=after)
+    await stream.send_all(build_order(0, "X: " + "y" * 500))
+    assert await receive_status(stream) == status
+
+
+async def test_a_request_in_progress_keeps_the_limit_with_which_it_began(
+    serve, handler
+):
+    limits = ChangingLimits(max_body_bytes=100)
+    stream = await connect(await serve(handler, limits))
+    order = build_order(100)
+    await stream.send_all(order[:-50])
+    await trio.sleep(0.1)
+    limits.current = model.CallerLimits(max_body_bytes=10)
+    await stream.send_all(order[-50:])
+    assert await receive_status(stream) == b"200"
+
+
+async def test_a_kept_connection_follows_a_change_of_the_idle_timeout(
+    serve, handler
+):
+    limits = ChangingLimits(idle_timeout_s=0.2)
+    stream = await connect(await serve(handler, limits))
+    await stream.send_all(build_order(0))
+    assert await receive_status(stream) == b"200"
+    limits.current = model.CallerLimits(idle_timeout_s=30.0)
+    with trio.move_on_after(2.5):
+        await stream.receive_some(1)
+        pytest.fail("the connection was closed by the old timeout")
+    await stream.send_all(build_order(0))
+    assert await receive_status(stream) == b"200"
