Explain ambiguous refusals, and causes in a module of their own

`guavapulley explain` said of a request that got 502 after an upstream's ambiguous 503 that the upstream itself had answered 503, which the caller never saw. It now says that the upstream did not state that the request had not run.

Measured: test_an_ambiguous_refusal_is_named_as_the_cause failed without the new rule (the text of the next rule appeared) and passes; the other tests of explain pass unchanged. The platform's nodes do not import these modules.

--- a/src/guavapulley/programs/_request_trace_text.py
+++ b/src/guavapulley/programs/_request_trace_text.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from guavapulley.programs import _request_causes
 from guavapulley.programs import _request_trace
 from guavapulley.programs import _tables
 from guavapulley.programs import _timeline
@@ -13,12 +14,12 @@
     if trace.end_event is not None:
         yield from _head_lines(trace, trace.end_event)
     yield (
-        f"cause     {_tables.printable_text(_request_trace.find_cause(trace))}"
+        f"cause     {_tables.printable_text(_request_causes.find_cause(trace))}"
     )
     if trace.sends:
         yield ""
         yield from _send_lines(trace)
-    wrong_beliefs = list(_request_trace.wrong_beliefs(trace))
+    wrong_beliefs = list(_request_causes.wrong_beliefs(trace))
     if wrong_beliefs:
         yield ""
         yield "wrong beliefs"
--- a/tests/programs/test_explain.py
+++ b/tests/programs/test_explain.py
@@ -220,6 +220,29 @@
     assert "the connection ended within the body" in logs.explain("r1")
 
 
+def test_an_ambiguous_refusal_is_named_as_the_cause(logs):
+    # The upstream's status was named, which the caller had not got.
+    logs.add(
+        "edge-1",
+        "upstream:ambiguous_refusal",
+        0.1,
+        request_id="r1",
+        upstream=UPSTREAM,
+        status=503,
+    )
+    logs.request(
+        "r1",
+        0.0,
+        make_answered_send(status=503),
+        status=502,
+        code="NO_WHOLE_ANSWER",
+    )
+    assert (
+        "stock-1 answered 503 without stating that the request had not run"
+        in logs.explain("r1")
+    )
+
+
 def test_stopping_entry_may_have_ended_the_request(logs):
     logs.add("edge-1", "edge:stopping", 4.0, running=1)
     logs.request("r1", 5.0, make_send(took_s=0.3), status=None, total_s=0.3)
