Keep the requests of other entries in a module of their own

OtherRequests has the peaks and latest counts of other entries by upstream and region; SlotAccounting only says what counts as how much.

--- a/src/guavapulley/steering/_choice.py
+++ b/src/guavapulley/steering/_choice.py
@@ -294,7 +294,7 @@
     for upstream in upstreams:
         record = upstream.observation.record
         own_requests = slots.own_in_flight[record.upstream]
-        in_flight_requests = own_requests + slots.other_peak_at(
+        in_flight_requests = own_requests + slots.other_requests.peak_at(
             record.upstream, context.now_s
         )
         report_effect = _report_effect(upstream, in_flight_requests, context)
--- a/src/guavapulley/steering/_slots.py
+++ b/src/guavapulley/steering/_slots.py
@@ -11,6 +11,7 @@
 from guavapulley.steering import _allocation
 from guavapulley.steering import _catalog
 from guavapulley.steering import _lending
+from guavapulley.steering import _other_requests
 from guavapulley.steering import _permit
 from guavapulley.steering import _settings
 from guavapulley.steering import _windows
@@ -42,9 +43,7 @@
     Attributes:
         own_in_flight: Requests of this entry by upstream.
         own_in_flight_by_region: Requests of this entry by region.
-        other_in_flight: Peaks of the requests of other entries by upstream.
-        other_in_flight_by_region: Peaks of the requests of other entries by
-            region.
+        other_requests: Requests of other entries.
         owned: Number of slots that this entry owns by upstream.
         quotas: Windows of the negative number of slots that this entry owns,
             by region.
@@ -74,8 +73,9 @@
         self.own_in_flight_by_region: collections.Counter[str] = (
             collections.Counter()
         )
-        self.other_in_flight: dict[str, _windows.PeakWindow] = {}
-        self.other_in_flight_by_region: dict[str, _windows.PeakWindow] = {}
+        self.other_requests = _other_requests.OtherRequests(
+            settings.gossip_window_s
+        )
         self.owned: collections.Counter[str] = collections.Counter()
         self.quotas: dict[str, _windows.PeakWindow] = {}
         self.remote_requests_per_slot: collections.defaultdict[str, float] = (
@@ -233,47 +233,27 @@
         for region, lending in self.lending.items():
             lending.record_claims(entries, f"{self.service}/{region}", now_s)
         others = [e for e in entries if e.name != self.entry]
-        sums: collections.defaultdict[str, float] = collections.defaultdict(
-            float
+        counts = (
+            (upstream, self._count_requests(upstream, others))
+            for upstream in upstreams
         )
-        for upstream in upstreams:
-            region = upstream.region
-            per_slot = self.remote_requests_per_slot[region]
-            count = sum(
-                e.in_flight.get(upstream.name, 0)
-                / (1.0 if e.region == region else per_slot)
-                for e in others
-            )
-            sums[region] += count
-            self._get_window(self.other_in_flight, upstream.name).add(
-                now_s, count
-            )
-        for region, count in sums.items():
-            self._get_window(self.other_in_flight_by_region, region).add(
-                now_s, count
-            )
-
-    def _get_window(
-        self, table: dict[str, _windows.PeakWindow], key: str
-    ) -> _windows.PeakWindow:
-        if key not in table:
-            table[key] = _windows.PeakWindow(self.settings.gossip_window_s)
-        return table[key]
+        self.other_requests.record(counts, now_s)
 
-    def other_peak_at(self, upstream: str, now_s: float) -> float:
-        """Returns the peak number of other entries' requests at an upstream."""
-        window = self.other_in_flight.get(upstream)
-        return window.value(now_s) if window else 0
-
-    def other_latest_at(self, upstream: str) -> float:
-        """Returns the latest count of requests from other entries."""
-        window = self.other_in_flight.get(upstream)
-        return window.samples[-1][1] if window else 0
+    def _count_requests(
+        self,
+        upstream: _catalog.LabelledUpstream,
+        others: Sequence[model.EntryRecord],
+    ) -> float:
+        """Returns the number of requests of other entries at an upstream.
 
-    def other_peak_in_region(self, region: str, now_s: float) -> float:
-        """Returns the peak number of other entries' requests in a region."""
-        window = self.other_in_flight_by_region.get(region)
-        return window.value(now_s) if window else 0
+        Those of entries in other regions count by the slots that they occupy.
+        """
+        per_slot = self.remote_requests_per_slot[upstream.region]
+        return sum(
+            entry.in_flight.get(upstream.name, 0)
+            / (1.0 if entry.region == upstream.region else per_slot)
+            for entry in others
+        )
 
     def limit(self, region: str, now_s: float) -> int:
         """Returns the number of own slots of a region that may be used now.
@@ -351,12 +331,14 @@
             return SlotUse.OWNED
         reserved = 1 if is_bulk else 0
         slots = self.slots.get(name, 0) - reserved
-        if own_slots_here + self.other_latest_at(name) >= slots:
+        if own_slots_here + self.other_requests.latest_at(name) >= slots:
             return None
         is_short = traffic_class is model.TrafficClass.SHORT
         if within_limit or (is_short and self._may_burst(region, now_s)):
             return SlotUse.SHARED
-        is_full = own_slots_here + self.other_peak_at(name, now_s) >= slots
+        is_full = (
+            own_slots_here + self.other_requests.peak_at(name, now_s) >= slots
+        )
         if is_full or not self._may_borrow(
             region, now_s, has_intent=has_intent
         ):
@@ -387,7 +369,7 @@
     def load(self, region: str, now_s: float) -> float:
         """Returns the fraction of slots of a region known to be in use."""
         slots = self.region_capacities.get(region, 0)
-        used_slots = self.other_peak_in_region(
+        used_slots = self.other_requests.peak_in_region(
             region, now_s
         ) + self.own_slots_in_use(region)
         return used_slots / slots if slots else 1.0
@@ -395,7 +377,7 @@
     def has_headroom(self, region: str, now_s: float) -> bool:
         """Returns whether one more request leaves the headroom free."""
         slots = self.region_capacities.get(region, 0)
-        used_slots = self.other_peak_in_region(
+        used_slots = self.other_requests.peak_in_region(
             region, now_s
         ) + self.own_slots_in_use(region)
         return used_slots + 1 <= slots * (
@@ -414,8 +396,7 @@
         mean = self.mean_in_flight[region].value(
             now_s
         ) / self.requests_per_slot(region)
-        window = self.other_in_flight_by_region.get(region)
-        other_requests = window.samples[-1][1] if window else 0.0
+        other_requests = self.other_requests.latest_in_region(region)
         burst_capacity = (
             self.settings.burst_region_fraction * self.region_capacities[region]
         )
@@ -430,7 +411,7 @@
 
         Long requests can outlast the time after which slots change owners.
         """
-        used_slots = self.other_peak_in_region(
+        used_slots = self.other_requests.peak_in_region(
             region, now_s
         ) + self.own_slots_in_use(region)
         return used_slots + 1 <= self.region_capacities[region]
