--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,7 +34,9 @@
 # Time in which the platform requires requests to be served after a fault.
 RECOVERY_S = 15.0
 MEASUREMENT_S = 2.0
-RUN_NUMBERS = itertools.count(10)
+# Numbers of deployments, each with five addresses of a network of 254. The runs
+# of one process follow each other and may use the same ones.
+RUN_NUMBERS = itertools.cycle(range(10, 50))
 
 
 async def soak(seed, seconds, folder, variant=None):
