--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -263,6 +263,7 @@
         ("max_header_bytes", 100, 1_000, EMPTY_ORDER, LONG_HEAD, b"200"),
         ("max_header_bytes", 1_000, 100, EMPTY_ORDER, LONG_HEAD, b"431"),
     ],
+    ids=["larger body", "smaller body", "larger head", "smaller head"],
 )
 async def test_a_kept_connection_follows_a_change_of_the_limits_on_sizes(
     serve, handler, limit, before, after, first, second, status
