review: drop stand-ins that no case uses

Cause: the stand-in for servers and the check of memory served the case that was dropped.

Change: lib-3 keeps what case 11 uses.

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -1,8 +1,7 @@
-"""A small deployment on loopback, with stand-ins for servers and callers.
+"""A small deployment on loopback, with a stand-in for the operator.
 
-The project's own programs run as the deploy file starts them. Servers, clients
-and the operator are coroutines of this process. Only the standard library is
-used.
+The project's own programs run as the deploy file starts them. Only the standard
+library is used.
 """
 
 import asyncio
@@ -22,7 +21,6 @@
 CONTROL, DIRECTORY, FRONTEND, READY = 8544, 8546, 8548, 8542
 METRICS = {"core": 9465, "edge": 9464}
 START_TIMEOUT_S = 30.0
-HEARTBEAT_S = 1.5
 HOST = "shop.example"
 CALL_ERRORS = (OSError, EOFError, ValueError, TimeoutError)
 
@@ -158,19 +156,6 @@
         if self.process is not None:
             self.process.wait()
 
-    def resident_bytes(self):
-        """Returns the resident memory, or 0 if the process has ended."""
-        try:
-            status = pathlib.Path(
-                f"/proc/{self.process.pid}/status"
-            ).read_text()
-        except OSError:
-            return 0
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024
-        return 0
-
 
 def free_network():
     """Returns the first three parts of loopback addresses without listeners."""
@@ -292,21 +277,6 @@
             await asyncio.sleep(0.1)
         raise UnableError(f"{path} was not decided in {timeout_s} s")
 
-    async def wait_ready(self, edge, timeout_s=START_TIMEOUT_S):
-        """Waits until an edge says that it is ready."""
-        deadline_s = time.monotonic() + timeout_s
-        while time.monotonic() < deadline_s:
-            try:
-                answer = await asyncio.wait_for(
-                    call(edge.ip, READY, "GET", "/readiness"), 1.0
-                )
-                if answer.status == 200:
-                    return
-            except CALL_ERRORS:
-                pass
-            await asyncio.sleep(0.05)
-        raise UnableError(f"{edge.name} is not ready after {timeout_s} s")
-
 
 class Answer:
     """A complete HTTP answer."""
@@ -360,127 +330,6 @@
         writer.close()
 
 
-class Server:
-    """A sound server of the platform, with heartbeats.
-
-    Attributes:
-        runs: Request IDs that it ran, with the time of the start.
-        work_s: Time of the work on a request, in seconds.
-    """
-
-    def __init__(self, deployment, name, service, zone, work_s, capacity=7):
-        self.deployment, self.record = deployment, deployment.record
-        self.name, self.service, self.zone = name, service, zone
-        self.work_s, self.capacity = work_s, capacity
-        self.slots = asyncio.Semaphore(capacity)
-        self.running = self.sequence = 0
-        self.state = "ready"
-        self.born = int(time.time() * 1000)
-        self.runs = []
-        self.completed = []
-        self.heartbeat_ip = None
-        self.answer_bytes = 1_000
-
-    async def start(self):
-        """Listens and starts to send heartbeats."""
-        self.listener = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=1 << 20
-        )
-        port = self.listener.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        self.task = asyncio.create_task(self._beat_forever())
-
-    async def stop(self):
-        """Ends without a word."""
-        self.task.cancel()
-        self.listener.close()
-
-    async def beat(self):
-        """Sends a heartbeat until a node acknowledges it."""
-        self.sequence += 1
-        body = {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "capacity": self.capacity,
-            "state": self.state,
-            "cold_remaining_s": 0,
-            "sequence": self.sequence,
-            "born": self.born,
-        }
-        path = f"/Instances.Heartbeat/{self.name}"
-        for node in self.deployment.cores:
-            try:
-                answer = await asyncio.wait_for(
-                    call(node.ip, CONTROL, "POST", path, body), 1.0
-                )
-            except CALL_ERRORS:
-                continue
-            if answer.status == 200:
-                return True
-        return False
-
-    async def _beat_forever(self):
-        while True:
-            await self.beat()
-            await asyncio.sleep(HEARTBEAT_S)
-
-    async def _serve(self, reader, writer):
-        try:
-            while True:
-                await self._serve_one(reader, writer)
-        except (OSError, EOFError, asyncio.LimitOverrunError):
-            pass
-        except asyncio.CancelledError:
-            pass  # The case has ended.
-        finally:
-            writer.close()
-
-    async def _serve_one(self, reader, writer):
-        first, headers = await read_head(reader)
-        left = int(headers.get("content-length", 0))
-        while left:
-            left -= len(await self._read_some(reader, left))
-        request_id = headers.get("request-id", "")
-        if headers.get("expect-instance", self.name) != self.name:
-            await self._answer(writer, 421, request_id, b"", signed=False)
-            return
-        async with self.slots:
-            self.running += 1
-            self.runs.append(request_id)
-            self.record.write("runs", server=self.name, id=request_id)
-            try:
-                await asyncio.sleep(self.work_s)
-            finally:
-                self.running -= 1
-        body = f"{self.name} {request_id} ".encode().ljust(
-            self.answer_bytes, b"."
-        )
-        self.completed.append(request_id)
-        await self._answer(writer, 200, request_id, body, signed=True)
-
-    async def _read_some(self, reader, left):
-        data = await reader.read(min(left, 1 << 18))
-        if not data:
-            raise EOFError
-        return data
-
-    async def _answer(self, writer, status, request_id, body, *, signed):
-        headers = [
-            ("Request-Id", request_id),
-            ("Server-Load", f"{self.running},0,{self.capacity}"),
-            ("Instance-Id", self.name),
-            ("Keep-Alive", "timeout=10"),
-            ("Content-Length", str(len(body))),
-        ]
-        if signed:
-            headers.append(("Response-Signature", f"sig.{request_id}"))
-        lines = [f"HTTP/1.1 {status} X", *(f"{n}: {v}" for n, v in headers)]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-        await writer.drain()
-
-
 def route(name, prefix, service, kind="safe", timeout_s=1.5, attempts=2):
     """Returns a route of a configuration."""
     return {
